--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -13,6 +13,7 @@
     bool spot, has_image, usable;
     struct amb_machine *machine; /* NULL: would be rented */
     uint32_t load;
+    double lasting; /* GPUs of tasks that run until they are cancelled */
 };
 
 struct amb_wish { /* what one task needs */
@@ -22,6 +23,7 @@
     bool spot;
     const uint32_t *zone_used; /* the job's tasks by zone, unproven ones included */
     uint32_t zone_most;        /* at most so many in one zone; 0: any number */
+    bool lasting;              /* runs until it is cancelled */
 };
 
 bool amb_place_allowed(const struct amb_wish *w, const struct amb_slot *s);
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -59,8 +59,10 @@
     s->usable = usable;
     s->machine = m;
     s->load = m->ntasks;
-    for (struct amb_task *t = m->tasks; t; t = t->next)
+    for (struct amb_task *t = m->tasks; t; t = t->next) {
         if (t->halting) amb_res_add(&s->soon, &t->job->spec->each, 1);
+        if (t->job->spec->kind == AMB_SERVICE) s->lasting += t->job->spec->each.gpus;
+    }
 }
 
 static void look_at_machines(struct round *r, bool booting) {
@@ -129,6 +131,7 @@
     w->type_mask = j->type_mask;
     w->zone = amb_catalog_zone(&r->n->catalog, j->spec->zone);
     w->spot = j->spec->spot;
+    w->lasting = j->spec->kind == AMB_SERVICE;
     w->zone_used = j->zone_used;
     w->zone_most = j->spec->spread ? amb_place_spread_most(j->spec->tasks) : 0;
     if (j->spec->one_zone && j->spec->kind != AMB_GANG)
@@ -177,6 +180,7 @@
 static void start_task(struct round *r, struct amb_task *t, struct amb_slot *s, uint64_t attempt) {
     struct amb_job *j = t->job;
     amb_res_add(&s->room, &j->spec->each, -1);
+    if (j->spec->kind == AMB_SERVICE) s->lasting += j->spec->each.gpus;
     amb_info("task %s/%u try %llu: placed on %s%s", j->ref, t->index, (unsigned long long)attempt,
              s->machine->name, s->has_image ? ", image at hand" : "");
     amb_task_bind(r->n, t, s->machine, attempt, AMB_TASK_PLACED);
--- a/lib/place.c
+++ b/lib/place.c
@@ -55,6 +55,9 @@
          * which only some jobs can use. Then the fullest, so that others empty and can be returned. */
         double score = (s->has_image ? 4 : 0) + (s->spot ? 2 : 0);
         if (s->size_gpus > 0) score += 1 - (room.gpus - w->need.gpus) / s->size_gpus;
+        /* Tasks that last keep together: a machine with one of them can't be returned, and a machine with
+         * none can as soon as its batch work ends. */
+        if (s->size_gpus > 0 && w->lasting) score += 1.5 * s->lasting / s->size_gpus;
         if (score > best_score) {
             best_score = score;
             best = (int)i;
