A node of a cut-off zone answers its workers in the leader's name

The deputy's key and the fresh read before a lease counts as over keep the proof of absence sound (docs/safety.md). Machines that fall silent together are given three times the patience.

--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -42,6 +42,37 @@
 bool amb_may_start(const struct amb_node *n);          /* surely leads */
 const char *amb_leader_name(const struct amb_node *n); /* NULL: unknown, or can't be reached */
 
+/* ---- deputy: keeps a cut-off zone's workers alive for a leader that can't be reached ---- */
+
+enum amb_deputy_state {
+    AMB_DEPUTY_OFF,
+    AMB_DEPUTY_ASKING, /* lease asked for, or the key being written */
+    AMB_DEPUTY_ACTIVE, /* answers reports of its own zone with the leader's token, and orders nothing */
+};
+
+struct amb_deputy {
+    enum amb_deputy_state state;
+    uint64_t lease, term;
+    amb_ms since, renewed_at, renew_sent_at;
+    bool renewing;
+    /* As the leader sees others: when a deputy of a zone was last known of. */
+    struct {
+        char member[AMB_NAME];
+        int zone;
+        uint64_t stamp;
+        bool present, seen;
+    } known[AMB_PEERS + 1];
+    uint32_t nknown;
+    amb_ms zone_at[AMB_ZONES];
+};
+
+void amb_deputy_tick(struct amb_node *n, amb_ms now);
+void amb_deputy_listing(struct amb_node *n, bool over);
+void amb_deputy_key(struct amb_node *n, const char *member, const cbor_item_t *value, uint64_t stamp);
+bool amb_deputy_answers(const struct amb_node *n, const struct amb_report *r);
+/* May somebody else be answering machines of this zone under our token? */
+bool amb_deputy_in_zone(const struct amb_node *n, int zone);
+
 /* ---- jobs: accepted jobs, their lifecycle, user API ---- */
 
 struct amb_sync {
@@ -55,7 +86,9 @@
     struct amb_job *live;
     bool loaded;
     uint64_t epoch; /* everything below a/ up to here is known */
-    amb_ms fresh_at;
+    amb_ms fresh_at;      /* when news last came */
+    amb_ms fresh_sent_at; /* when the question was sent whose answer came last */
+    amb_ms sync_sent_at, follow_sent_at;
     struct amb_sync *waiting, *asked;
     bool syncing, following;
     struct amb_timer follow_timer, sync_timer;
@@ -222,6 +255,7 @@
     struct amb_catalog catalog;
     struct amb_store store;
     struct amb_election election;
+    struct amb_deputy deputy;
     struct amb_jobs jobs;
     struct amb_fleet fleet;
     struct amb_rental rental;
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -685,6 +685,7 @@
     amb_ms now = amb_now();
     amb_timer_in(&c->timer, secs(n->set.report_s * 0.1), tick, n);
     amb_rental_tick(n, now);
+    amb_deputy_tick(n, now);
     if (!amb_leads(n)) return;
     if (c->loading) load_tick(n, now);
     amb_ms learn = secs(n->set.report_s * 1.3);
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -342,6 +342,17 @@
     return true;
 }
 
+/* As a deputy: the leader can't be reached from here, but the workers of this zone can be kept alive. */
+static void stand_in(struct amb_node *n, struct amb_http_req *req) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 2);
+    amb_w_str(&b, "baton");
+    amb_w_uint(&b, n->deputy.term);
+    amb_w_str(&b, "orders");
+    amb_w_list(&b, 0);
+    amb_reply_cbor(req, 200, &b, 0);
+}
+
 static void redirect(struct amb_node *n, struct amb_http_req *req) {
     const char *leader = amb_leader_name(n);
     if (n->election.role == AMB_ROLE_MUTE) {
@@ -374,7 +385,9 @@
     amb_election_saw_term(n, r.token, r.machine);
     static struct amb_order orders[ORDERS_MAX];
     size_t count = 0;
-    if (!amb_leads(n) || !amb_fleet_report(n, &r, amb_now(), orders, ORDERS_MAX, &count)) {
+    if (!amb_leads(n) && amb_deputy_answers(n, &r)) {
+        stand_in(n, req);
+    } else if (!amb_leads(n) || !amb_fleet_report(n, &r, amb_now(), orders, ORDERS_MAX, &count)) {
         redirect(n, req);
     } else {
         struct amb_buf b = {0};
@@ -441,23 +454,55 @@
 
 /* ---- what time alone shows ---- */
 
+static void noted(void *arg, bool ok) {
+    (void)arg, (void)ok;
+}
+
+/* Has the machine's lease surely run out? Not while a deputy may be answering it under our token, and only on
+ * the word of a read sent after the lease would have ended without one: a deputy that is not known by then
+ * came too late to renew it. */
+static bool lease_over(struct amb_node *n, const struct amb_machine *m, amb_ms now) {
+    amb_ms from = m->answered_at;
+    if (m->zone >= 0 && n->deputy.zone_at[m->zone] > from) from = n->deputy.zone_at[m->zone];
+    if (now - from <= lease_span(n)) return false;
+    if (n->jobs.fresh_sent_at > from + lease_span(n)) return true;
+    if (!n->jobs.waiting && !n->jobs.syncing) amb_jobs_sync(n, noted, NULL);
+    return false;
+}
+
+static bool most_silent(const struct amb_node *n, const struct amb_machine *one, amb_ms now) {
+    uint32_t all = 0, silent = 0;
+    const struct amb_machine *m;
+    for (m = n->fleet.all; m; m = m->hh.next) {
+        if (m->zone != one->zone || m->state == AMB_MACHINE_BOOTING) continue;
+        all++;
+        silent += now - m->reported_at > secs(n->set.report_s * 3);
+    }
+    return silent * 3 > all && silent > 2;
+}
+
 static void tick_machine(struct amb_node *n, struct amb_machine *m, amb_ms now) {
-    amb_ms lease = lease_span(n), since = now - n->ctl.leading_since;
+    amb_ms since = now - n->ctl.leading_since;
+    bool covered = amb_deputy_in_zone(n, m->zone);
     if (m->failed && m->tasks) lose_tasks(n, m, "the cloud says it failed");
-    if (m->state == AMB_MACHINE_UP && now - m->answered_at > lease) {
+    if (m->state == AMB_MACHINE_UP && now - m->answered_at > lease_span(n) && lease_over(n, m, now)) {
         /* It can take answers from nobody else once it has shown our token, and its lease has run out. */
         amb_machine_state(m, AMB_MACHINE_SILENT, "its lease has run out");
     }
-    if (m->state == AMB_MACHINE_SILENT && now - m->answered_at > lease)
+    if (m->state == AMB_MACHINE_SILENT && m->tasks && lease_over(n, m, now))
         lose_tasks(n, m, "its lease has run out");
-    if (m->state == AMB_MACHINE_SILENT && now - m->answered_at > secs(n->set.lease_s * n->opt.silent_release))
+    /* When a good part of a zone falls silent together it is the network, and the machines come back: a new
+     * one takes longer to boot and to fetch its images than most cuts last. */
+    double patience = most_silent(n, m, now) ? 3 : 1;
+    if (m->state == AMB_MACHINE_SILENT && !covered &&
+        now - m->answered_at > secs(n->set.lease_s * n->opt.silent_release * patience))
         amb_rental_release(n, m, "silent for too long");
     if (m->state == AMB_MACHINE_UNPROVEN && now - m->reported_at > secs(n->set.report_s * 2) &&
         since > secs(n->set.report_s * 2)) {
         seek(n, m, now);
         amb_ms unknown = now - (m->known_at > n->ctl.leading_since ? m->known_at : n->ctl.leading_since);
         /* Its silence proves nothing while it may hold another leader's token. */
-        if (unknown > secs(n->set.lease_s * (m->ntasks ? 1.5 : 3)) && amb_may_start(n))
+        if (!covered && unknown > secs(n->set.lease_s * (m->ntasks ? 1.5 : 3) * patience) && amb_may_start(n))
             amb_rental_release(n, m, "it can't be reached");
     }
     /* A machine of ours that reports to another node only. */
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -10,6 +10,7 @@
 static const char PREFIX[] = "a/";
 static const char JOB_PREFIX[] = "a/job/";
 static const char LEADER_KEY[] = "a/leader";
+static const char DEPUTY_PREFIX[] = "a/deputy/";
 
 void amb_job_key(char *out, size_t cap, const char *ref) {
     snprintf(out, cap, "%s%s", JOB_PREFIX, ref);
@@ -116,11 +117,13 @@
 static void apply_item(struct amb_node *n, const char *key, const cbor_item_t *value, uint64_t stamp) {
     if (!strcmp(key, LEADER_KEY))
         amb_election_key(n, value, stamp);
+    else if (!strncmp(key, DEPUTY_PREFIX, sizeof DEPUTY_PREFIX - 1))
+        amb_deputy_key(n, key + sizeof DEPUTY_PREFIX - 1, value, stamp);
     else if (!strncmp(key, JOB_PREFIX, sizeof JOB_PREFIX - 1))
         amb_jobs_apply(n, key + sizeof JOB_PREFIX - 1, value, stamp);
 }
 
-static bool apply_news(struct amb_node *n, const cbor_item_t *body) {
+static bool apply_news(struct amb_node *n, const cbor_item_t *body, amb_ms sent_at) {
     uint64_t epoch;
     if (!amb_cbor_uint(amb_cbor_get(body, "epoch"), &epoch)) return false;
     const cbor_item_t *news = amb_cbor_get(body, "news");
@@ -136,6 +139,7 @@
     }
     if (epoch > n->jobs.epoch) n->jobs.epoch = epoch;
     n->jobs.fresh_at = amb_now();
+    if (sent_at > n->jobs.fresh_sent_at) n->jobs.fresh_sent_at = sent_at;
     return true;
 }
 
@@ -145,13 +149,14 @@
 static void relist(struct amb_node *n) {
     n->jobs.list_after[0] = 0;
     n->jobs.list_epoch = 0;
+    amb_deputy_listing(n, false);
     list_next(n);
 }
 
 static void followed(void *arg, int status, const cbor_item_t *body) {
     struct amb_node *n = arg;
     n->jobs.following = false;
-    if (status == 200 && apply_news(n, body)) {
+    if (status == 200 && apply_news(n, body, n->jobs.follow_sent_at)) {
         follow(n);
     } else if (status == 410) {
         relist(n);
@@ -164,6 +169,7 @@
     struct amb_node *n = arg;
     if (n->jobs.following) return;
     n->jobs.following = true;
+    n->jobs.follow_sent_at = amb_now();
     amb_store_follow(&n->store, PREFIX, n->jobs.epoch, n->store.call_timeout * 2, followed, n);
 }
 
@@ -197,6 +203,7 @@
         return;
     }
     if (!leader) amb_election_key(n, NULL, epoch);
+    amb_deputy_listing(n, true);
     js->epoch = js->list_epoch;
     js->loaded = true;
     amb_election_ready(n);
@@ -215,7 +222,7 @@
 static void synced(void *arg, int status, const cbor_item_t *body) {
     struct amb_node *n = arg;
     struct amb_jobs *js = &n->jobs;
-    bool ok = status == 200 && apply_news(n, body);
+    bool ok = status == 200 && apply_news(n, body, js->sync_sent_at);
     if (status == 410) relist(n);
     struct amb_sync *s = js->asked;
     js->asked = NULL;
@@ -240,6 +247,7 @@
     js->asked = js->waiting;
     js->waiting = NULL;
     js->syncing = true;
+    js->sync_sent_at = amb_now();
     amb_store_follow(&n->store, PREFIX, js->epoch, 0, synced, n);
 }
 
