Urgent tasks prefer room made on a machine with their image to a long fetch

Cause: starts of convenio-judge and roster-draft were late when the only free room lay on a machine without the image: the fetch alone takes 15 to 28 s of the 12 to 30 s allowed. Now lower work makes way on a machine that holds the image, if the fetch would use 0.7 of the class's wait objective. Ruled out: a weaker image preference for batch work (no effect on money, slightly worse waits).

--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -165,6 +165,7 @@
     amb_ms finish_retry_at;
     uint32_t type_mask;
     bool type_mask_known;
+    amb_ms image_since; /* since when it waits for room where its image is; 0: it does not */
 };
 
 enum amb_machine_state {
--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -85,7 +85,7 @@
     struct amb_job *all; /* by ref */
     struct amb_job *live;
     bool loaded;
-    uint64_t epoch; /* everything below a/ up to here is known */
+    uint64_t epoch;       /* everything below a/ up to here is known */
     amb_ms fresh_at;      /* when news last came */
     amb_ms fresh_sent_at; /* when the question was sent whose answer came last */
     amb_ms sync_sent_at, follow_sent_at;
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -246,57 +246,20 @@
     return fits;
 }
 
-static enum amb_wdrr_try admit(void *arg, uint32_t team, const struct amb_wdrr_item *item) {
-    struct round *r = arg;
-    struct amb_job *j = item->what;
-    (void)team;
-    mark_images(r, j);
-    if (j->spec->kind == AMB_GANG) return admit_gang(r, j) ? AMB_TRY_ADMITTED : AMB_TRY_NO_FIT;
-    struct amb_wish w;
-    wish_of(r, j, &w);
-    int at = amb_place_pick(&w, r->slots, r->nslots, false);
-    struct amb_task *t = first_waiting(j);
-    if (at < 0 || !t) return AMB_TRY_NO_FIT;
-    start_task(r, t, &r->slots[at], j->next_attempt++);
-    return AMB_TRY_ADMITTED;
-}
-
-static uint32_t admission(struct round *r) {
-    struct amb_node *n = r->n;
-    const struct amb_wdrr_ops ops = {next_item, admit, skip_item, is_idle, r};
-    uint32_t first = n->set.nteams ? n->ctl.turn++ % n->set.nteams : 0, count;
-    /* What users wait for goes before what may be stopped for it (docs/design.md, exceptions). */
-    r->urgent_pass = true;
-    count = amb_wdrr_round(n->set.teams, n->set.nteams, first, &ops);
-    for (uint32_t i = 0; i < n->set.nteams; i++) {
-        struct line *l = &r->lines[i];
-        while (l->at < l->n && l->jobs[l->at]->spec->priority >= AMB_HIGH) l->at++;
-    }
-    r->urgent_pass = false;
-    return count + amb_wdrr_round(n->set.teams, n->set.nteams, first, &ops);
-}
-
-/* ---- what does not fit: wait for room that comes, make room, or rent ---- */
-
-struct plan {
-    struct round *r;
-    uint32_t rent[AMB_TYPES][AMB_ZONES][2];
-    struct amb_res extra[AMB_TEAMS]; /* planned for each team on top of what it uses */
-};
-
 /* Room that work of lower priority would leave, had it to go. */
 static bool preemptible(const struct amb_task *t, enum amb_priority p) {
     const struct amb_spec *s = t->job->spec;
     return s->kind == AMB_ARRAY && s->priority < p && !t->halting && t->state != AMB_TASK_PLACED && !t->done;
 }
 
-static bool make_room(struct round *r, struct amb_job *j, const struct amb_wish *w) {
+static bool make_room(struct round *r, struct amb_job *j, const struct amb_wish *w, bool image_only) {
     if (r->n->opt.preempt < 0.5 || j->spec->priority < AMB_HIGH) return false;
     int best = -1;
     double least = INFINITY;
     for (uint32_t i = 0; i < r->nslots; i++) {
         struct amb_slot *s = &r->slots[i];
         if (!s->machine || s->machine->state != AMB_MACHINE_UP || !amb_place_allowed(w, s)) continue;
+        if (image_only && !s->has_image) continue;
         struct amb_res room = s->room;
         amb_res_add(&room, &s->soon, 1);
         double lost = s->has_image ? 0 : 1000;
@@ -326,6 +289,80 @@
     return true;
 }
 
+static const struct amb_objective *wait_objective(const struct amb_node *n, const struct amb_spec *s) {
+    for (uint32_t i = 0; i < n->set.nobjectives; i++)
+        if (!strcmp(n->set.objectives[i].kind, "wait") &&
+            !strcmp(n->set.objectives[i].class_name, s->class_name))
+            return &n->set.objectives[i];
+    return NULL;
+}
+
+/* Would the fetch alone use up most of the time in which the job's class is to start? */
+static bool fetch_too_long(const struct round *r, const struct amb_job *j, const struct amb_slot *s) {
+    const struct amb_objective *o = wait_objective(r->n, j->spec);
+    double rate = r->n->catalog.types[s->type].fetch_gb_s;
+    if (!o || j->spec->priority < AMB_HIGH || rate <= 0) return false;
+    return j->spec->image_gb / rate > o->within_s * 0.7;
+}
+
+/* Is room on a machine with the image about to come? */
+static bool promised(const struct round *r, const struct amb_wish *w) {
+    for (uint32_t i = 0; i < r->nslots; i++) {
+        struct amb_res room = r->slots[i].room;
+        amb_res_add(&room, &r->slots[i].soon, 1);
+        if (r->slots[i].has_image && amb_place_allowed(w, &r->slots[i]) && amb_res_fits(&w->need, &room))
+            return true;
+    }
+    return false;
+}
+
+static enum amb_wdrr_try admit(void *arg, uint32_t team, const struct amb_wdrr_item *item) {
+    struct round *r = arg;
+    struct amb_job *j = item->what;
+    (void)team;
+    mark_images(r, j);
+    if (j->spec->kind == AMB_GANG) return admit_gang(r, j) ? AMB_TRY_ADMITTED : AMB_TRY_NO_FIT;
+    struct amb_wish w;
+    wish_of(r, j, &w);
+    int at = amb_place_pick(&w, r->slots, r->nslots, false);
+    struct amb_task *t = first_waiting(j);
+    if (at < 0 || !t) return AMB_TRY_NO_FIT;
+    /* A user waits for it, and fetching the image would take too long: better the room of other work on a
+     * machine that holds it. */
+    if (!r->slots[at].has_image && fetch_too_long(r, j, &r->slots[at])) {
+        if (!j->image_since) j->image_since = r->now;
+        if (r->now - j->image_since < secs(r->n->set.report_s * 4) &&
+            (promised(r, &w) || make_room(r, j, &w, true)))
+            return AMB_TRY_NO_FIT;
+    }
+    j->image_since = 0;
+    start_task(r, t, &r->slots[at], j->next_attempt++);
+    return AMB_TRY_ADMITTED;
+}
+
+static uint32_t admission(struct round *r) {
+    struct amb_node *n = r->n;
+    const struct amb_wdrr_ops ops = {next_item, admit, skip_item, is_idle, r};
+    uint32_t first = n->set.nteams ? n->ctl.turn++ % n->set.nteams : 0, count;
+    /* What users wait for goes before what may be stopped for it (docs/design.md, exceptions). */
+    r->urgent_pass = true;
+    count = amb_wdrr_round(n->set.teams, n->set.nteams, first, &ops);
+    for (uint32_t i = 0; i < n->set.nteams; i++) {
+        struct line *l = &r->lines[i];
+        while (l->at < l->n && l->jobs[l->at]->spec->priority >= AMB_HIGH) l->at++;
+    }
+    r->urgent_pass = false;
+    return count + amb_wdrr_round(n->set.teams, n->set.nteams, first, &ops);
+}
+
+/* ---- what does not fit: wait for room that comes, make room, or rent ---- */
+
+struct plan {
+    struct round *r;
+    uint32_t rent[AMB_TYPES][AMB_ZONES][2];
+    struct amb_res extra[AMB_TEAMS]; /* planned for each team on top of what it uses */
+};
+
 static double fits_times(const struct amb_res *need, const struct amb_res *size) {
     double n = 1e6;
     if (need->cpus > 0) n = fmin(n, floor(size->cpus / need->cpus + 1e-6));
@@ -381,7 +418,7 @@
         /* An urgent task takes a place that has to boot only when no running work can make way. */
         struct amb_slot *s = &r->slots[at];
         bool up = s->machine && s->machine->state == AMB_MACHINE_UP;
-        if (up || !make_room(r, j, w)) {
+        if (up || !make_room(r, j, w, false)) {
             amb_res_add(&s->room, &w->need, -1);
             s->load++;
             j->zone_used[s->zone]++;
@@ -389,7 +426,7 @@
         }
         return;
     }
-    if (make_room(r, j, w)) return;
+    if (make_room(r, j, w, false)) return;
     struct amb_slot *s = rent_for(p, w, most, true);
     if (!s) {
         *done = true;
--- a/lib/deputy.c
+++ b/lib/deputy.c
@@ -1,8 +1,8 @@
 /* When the network between two zones is cut, workers on the far side of the leader would lose all their tasks
  * with their lease. A node on their side that still reaches the state service may answer them in the leader's
- * name: it gives no orders, only the leader's token. The leader must know, because the end of a worker's lease
- * is one of its proofs that a task is gone: so a deputy first writes a key, under a guard on the leader's term
- * and on a lease of its own, and stops when it can't renew that in time. */
+ * name: it gives no orders, only the leader's token. The leader must know, because the end of a worker's
+ * lease is one of its proofs that a task is gone: so a deputy first writes a key, under a guard on the
+ * leader's term and on a lease of its own, and stops when it can't renew that in time. */
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 
@@ -15,7 +15,8 @@
     static const char *const names[] = {"off", "asking", "active"};
     struct amb_deputy *d = &n->deputy;
     if (d->state == to) return;
-    amb_info("deputy: %s -> %s for term %llu: %s", names[d->state], names[to], (unsigned long long)d->term, cause);
+    amb_info("deputy: %s -> %s for term %llu: %s", names[d->state], names[to], (unsigned long long)d->term,
+             cause);
     d->state = to;
 }
 
@@ -79,7 +80,8 @@
 
 static bool leader_heard(const struct amb_node *n, amb_ms now, amb_ms within) {
     for (uint32_t i = 0; i < n->peers.count; i++)
-        if (!strcmp(n->peers.list[i].member, n->election.holder)) return now - n->peers.list[i].heard_at < within;
+        if (!strcmp(n->peers.list[i].member, n->election.holder))
+            return now - n->peers.list[i].heard_at < within;
     return true; /* nobody we know of: nothing to stand in for */
 }
 
