--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -240,6 +240,8 @@
     uint32_t ndemands;
     struct amb_demand demands[AMB_DEMANDS];
     amb_ms plan_at;
+    struct amb_res peak; /* what jobs took and waited for lately, fading */
+    amb_ms peak_at;
     uint32_t nundo; /* zones counted for tasks that are only planned */
     int undo[AMB_PLAN_TASKS];
 };
--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -12,7 +12,7 @@
     int type, zone;
     bool spot, has_image, usable;
     struct amb_machine *machine; /* NULL: would be rented */
-    uint32_t load;
+    uint32_t planned; /* tasks that a plan has given it, on top of what it runs */
     double lasting; /* GPUs of tasks that run until they are cancelled */
 };
 
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -58,7 +58,6 @@
     amb_res_add(&s->room, &m->used, -1);
     s->usable = usable;
     s->machine = m;
-    s->load = m->ntasks;
     for (struct amb_task *t = m->tasks; t; t = t->next) {
         if (t->halting) amb_res_add(&s->soon, &t->job->spec->each, 1);
         if (t->job->spec->kind == AMB_SERVICE) s->lasting += t->job->spec->each.gpus;
@@ -285,7 +284,7 @@
                       "room for a job of higher priority");
     }
     amb_res_add(&s->room, &w->need, -1);
-    s->load++;
+    s->planned++;
     return true;
 }
 
@@ -359,7 +358,7 @@
 
 struct plan {
     struct round *r;
-    uint32_t rent[AMB_TYPES][AMB_ZONES][2];
+    uint32_t rent[AMB_TYPES][AMB_ZONES][2], rented;
     struct amb_res extra[AMB_TEAMS]; /* planned for each team on top of what it uses */
 };
 
@@ -400,6 +399,7 @@
     }
     if (bt < 0) return NULL;
     p->rent[bt][bz][bs]++;
+    p->rented++;
     return add_type_slot(r, bt, bz, bs);
 }
 
@@ -420,7 +420,7 @@
         bool up = s->machine && s->machine->state == AMB_MACHINE_UP;
         if (up || !make_room(r, j, w, false)) {
             amb_res_add(&s->room, &w->need, -1);
-            s->load++;
+            s->planned++;
             j->zone_used[s->zone]++;
             r->n->ctl.undo[r->n->ctl.nundo++] = s->zone;
         }
@@ -433,7 +433,7 @@
         return;
     }
     amb_res_add(&s->room, &w->need, -1);
-    s->load++;
+    s->planned++;
     j->zone_used[s->zone]++;
     r->n->ctl.undo[r->n->ctl.nundo++] = s->zone;
 }
@@ -454,7 +454,7 @@
         amb_res_add(&p->extra[team], &j->spec->each, j->spec->tasks);
         if (place_gang(r, j, where, true)) {
             for (uint32_t i = 0; i < j->spec->tasks; i++) {
-                r->slots[where[i]].load++;
+                r->slots[where[i]].planned++;
                 j->zone_used[r->slots[where[i]].zone]--;
             }
             return;
@@ -511,7 +511,7 @@
             if (!s) s = rent_for(p, &w, (uint32_t)ceil(count) - k, false);
             if (!s) break;
             amb_res_add(&s->room, &w.need, -1);
-            s->load++;
+            s->planned++;
         }
     }
 }
@@ -519,15 +519,132 @@
 static void plan_returns(struct plan *p) {
     struct round *r = p->r;
     struct amb_node *n = r->n;
+    struct amb_machine *m, *next;
     for (uint32_t i = 0; i < r->nslots; i++) {
         struct amb_slot *s = &r->slots[i];
-        struct amb_machine *m = s->machine;
-        if (!m || s->load || m->ntasks || m->state != AMB_MACHINE_UP) continue;
+        m = s->machine;
+        if (!m || s->planned || m->ntasks || m->state != AMB_MACHINE_UP) continue;
         const struct amb_type *t = &n->catalog.types[m->type];
         amb_ms idle = secs(t->boot_s * n->opt.idle_return);
         amb_ms lead = r->now - n->ctl.leading_since;
         if (r->now - m->idle_since > idle && lead > idle) amb_rental_release(n, m, "idle");
     }
+    HASH_ITER(hh, n->fleet.all, m, next) if (m->drain && !m->ntasks) amb_rental_release(n, m, "emptied");
+}
+
+/* ---- emptying machines: what runs on a few could run on fewer ---- */
+
+/* A replica may be moved once it has run for a while, to a machine that holds its image: then it is down for
+ * little more than two reports. Takes the room it would get. */
+static bool movable(struct round *r, struct amb_task *t) {
+    struct amb_job *j = t->job;
+    struct amb_wish w;
+    if (t->halting || t->state != AMB_TASK_SEEN || !t->running_at || j->state != AMB_JOB_QUEUED) return false;
+    if (r->now - t->running_at < secs(r->n->set.lease_s * 4)) return false;
+    mark_images(r, j);
+    wish_of(r, j, &w);
+    int zone = t->machine->zone;
+    j->zone_used[zone]--;
+    int at = amb_place_pick(&w, r->slots, r->nslots, false);
+    j->zone_used[zone]++;
+    if (at < 0 || !r->slots[at].has_image || !r->slots[at].machine ||
+        r->slots[at].machine->state != AMB_MACHINE_UP || r->slots[at].machine == t->machine)
+        return false;
+    amb_res_add(&r->slots[at].room, &j->spec->each, -1);
+    return true;
+}
+
+static bool can_empty(struct round *r, struct amb_slot *s) {
+    bool could = true;
+    struct amb_res *rooms = amb_alloc(r->nslots * sizeof *rooms);
+    for (uint32_t i = 0; i < r->nslots; i++) rooms[i] = r->slots[i].room;
+    s->usable = false;
+    for (struct amb_task *t = s->machine->tasks; t && could; t = t->next) {
+        if (t->job->spec->kind == AMB_GANG || t->halting) could = false;
+        if (t->job->spec->kind == AMB_SERVICE) could = movable(r, t);
+    }
+    s->usable = true;
+    for (uint32_t i = 0; i < r->nslots; i++) r->slots[i].room = rooms[i];
+    free(rooms);
+    return could;
+}
+
+static double fade(double peak, double now, double keep) {
+    return fmax(now, now + (peak - now) * keep);
+}
+
+/* Batch work comes in bursts: what it took a little while ago it will take again. */
+static void note_demand(struct plan *p) {
+    struct round *r = p->r;
+    struct amb_node *n = r->n;
+    struct amb_controller *c = &n->ctl;
+    struct amb_res now = {0, 0, 0};
+    double boot = 0;
+    for (uint32_t i = 0; i < n->set.nteams; i++) {
+        amb_res_add(&now, &n->set.teams[i].used, 1);
+        amb_res_add(&now, &p->extra[i], 1); /* what waits and may start */
+    }
+    for (uint32_t t = 0; t < n->catalog.ntypes; t++) boot = fmax(boot, n->catalog.types[t].boot_s);
+    double keep = c->peak_at ? exp(-(double)(r->now - c->peak_at) / 1000 / (1.5 * boot + 1)) : 0;
+    c->peak.cpus = fade(c->peak.cpus, now.cpus, keep);
+    c->peak.gpus = fade(c->peak.gpus, now.gpus, keep);
+    c->peak.memory = fade(c->peak.memory, now.memory, keep);
+    c->peak_at = r->now;
+}
+
+/* Would the fleet without this machine still have held the latest peak? */
+static bool spare(const struct round *r, const struct amb_machine *one) {
+    struct amb_res rest = {0, 0, 0};
+    const struct amb_res *peak = &r->n->ctl.peak;
+    for (uint32_t i = 0; i < r->nslots; i++) {
+        const struct amb_machine *m = r->slots[i].machine;
+        if (!m || m == one || m->state != AMB_MACHINE_UP || m->drain) continue;
+        const struct amb_res *size = &r->n->catalog.types[m->type].size;
+        /* Only as much of a machine counts as tasks of the usual shape can use. */
+        double share = 1;
+        if (peak->memory > 0) share = fmin(share, size->memory / peak->memory * peak->gpus / size->gpus);
+        if (peak->cpus > 0) share = fmin(share, size->cpus / peak->cpus * peak->gpus / size->gpus);
+        rest.gpus += size->gpus * share;
+    }
+    return rest.gpus >= peak->gpus * 1.1;
+}
+
+static void plan_emptying(struct plan *p) {
+    struct round *r = p->r;
+    struct amb_node *n = r->n;
+    struct amb_machine *m, *next;
+    uint32_t draining = 0, up = 0;
+    HASH_ITER(hh, n->fleet.all, m, next) {
+        up += m->state == AMB_MACHINE_UP;
+        draining += m->drain;
+    }
+    /* Demand is back: better keep what boots already. */
+    if (p->rented) {
+        HASH_ITER(hh, n->fleet.all, m, next) if (m->drain && !m->release_wanted) m->drain = false;
+        return;
+    }
+    uint32_t moves = 0;
+    HASH_ITER(hh, n->fleet.all, m, next) {
+        if (!m->drain || m->state != AMB_MACHINE_UP) continue;
+        for (struct amb_task *t = m->tasks; t && moves < 2; t = t->next)
+            if (t->job->spec->kind == AMB_SERVICE && movable(r, t)) {
+                amb_task_halt(n, t, 0, "moves, so that its machine can be returned");
+                moves++;
+            }
+    }
+    if (draining * 20 > up) return;
+    struct amb_slot *best = NULL;
+    for (uint32_t i = 0; i < r->nslots; i++) {
+        struct amb_slot *s = &r->slots[i];
+        if (!s->machine || s->machine->state != AMB_MACHINE_UP || !s->machine->ntasks || s->planned) continue;
+        if (s->machine->used.gpus * 2 > s->size_gpus) continue;
+        if (best && s->machine->used.gpus >= best->machine->used.gpus) continue;
+        if (spare(r, s->machine) && can_empty(r, s)) best = s;
+    }
+    if (!best) return;
+    amb_info("machine %s: to be emptied: the rest of the fleet has room for its %u tasks", best->machine->name,
+             best->machine->ntasks);
+    best->machine->drain = true;
 }
 
 static void planning(struct round *r) {
@@ -537,8 +654,10 @@
     look_at_machines(r, true);
     for (uint32_t i = 0; i < r->njobs; i++)
         if (wants_start(r, r->jobs[i])) plan_job(p, r->jobs[i]);
+    note_demand(p);
     plan_headroom(p);
     plan_returns(p);
+    plan_emptying(p);
     for (uint32_t t = 0; t < n->catalog.ntypes; t++)
         for (uint32_t z = 0; z < n->catalog.nzones; z++)
             for (int s = 0; s < 2; s++)
@@ -691,7 +810,7 @@
     c->loading = true;
     c->load_after[0] = 0;
     c->load_term = n->election.term;
-    c->round_at = c->plan_at = 0;
+    c->round_at = c->plan_at = c->peak_at = 0;
     c->ndemands = 0;
     bool by_gpus = false;
     for (uint32_t i = 0; i < n->set.nteams; i++) by_gpus |= n->set.teams[i].guarantee.gpus > 0;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -103,7 +103,7 @@
 }
 
 bool amb_machine_usable(const struct amb_node *n, const struct amb_machine *m, amb_ms now) {
-    return m->state == AMB_MACHINE_UP && !m->release_wanted && !m->notice_until && now >= m->avoid_until &&
+    return m->state == AMB_MACHINE_UP && !m->release_wanted && !m->drain && !m->notice_until && now >= m->avoid_until &&
            m->type >= 0 && m->zone >= 0 && now - m->reported_at < secs(n->set.report_s * 3);
 }
 
