--- a/lib/controller.c
+++ b/lib/controller.c
@@ -410,7 +410,7 @@
     return amb_wdrr_within_limit(&t, &j->spec->each, times);
 }
 
-static void plan_task(struct plan *p, struct amb_job *j, struct amb_wish *w, uint32_t most, bool *done) {
+static void plan_task(struct plan *p, struct amb_job *j, struct amb_wish *w, uint32_t most, bool patient, bool *done) {
     struct round *r = p->r;
     int at = amb_place_pick(w, r->slots, r->nslots, true);
     *done = false;
@@ -427,7 +427,7 @@
         return;
     }
     if (make_room(r, j, w, false)) return;
-    struct amb_slot *s = rent_for(p, w, most, true);
+    struct amb_slot *s = patient ? NULL : rent_for(p, w, most, true);
     if (!s) {
         *done = true;
         return;
@@ -438,11 +438,33 @@
     r->n->ctl.undo[r->n->ctl.nundo++] = s->zone;
 }
 
+/* May it still wait for room that frees itself, and be done in time? Batch work ends all the time, while a
+ * rented machine is paid for while it boots. */
+static bool can_wait(const struct plan *p, const struct amb_job *j) {
+    const struct amb_node *n = p->r->n;
+    const struct amb_spec *s = j->spec;
+    if (s->kind != AMB_ARRAY || s->priority >= AMB_HIGH || wait_objective(n, s)) return false;
+    double target = s->deadline_s, lead = 0;
+    for (uint32_t i = 0; i < n->set.nobjectives && s->deadline_s <= 0; i++) {
+        const struct amb_objective *o = &n->set.objectives[i];
+        if (strcmp(o->kind, "finished") || strcmp(o->class_name, s->class_name)) continue;
+        if (target <= 0 || o->within_s < target) target = o->within_s;
+    }
+    for (uint32_t t = 0; t < n->catalog.ntypes; t++) {
+        const struct amb_type *type = &n->catalog.types[t];
+        if (!(j->type_mask >> t & 1)) continue;
+        lead = fmax(lead, type->boot_s + (type->fetch_gb_s > 0 ? s->image_gb / type->fetch_gb_s : 0));
+    }
+    double age = (double)(amb_wall_ms() - j->accepted_wall) / 1000;
+    /* Estimates are often wrong by half. */
+    return age + lead + s->estimate_s * 1.5 < target;
+}
+
 static void plan_job(struct plan *p, struct amb_job *j) {
     struct round *r = p->r;
     struct amb_controller *ctl = &r->n->ctl;
     struct amb_wish w;
-    bool done = false;
+    bool done = false, patient = can_wait(p, j);
     uint32_t left = amb_job_waiting(j), team = (uint32_t)(j->team - r->n->set.teams);
     mark_images(r, j);
     wish_of(r, j, &w);
@@ -461,12 +483,12 @@
         }
         /* In one zone: all of it goes where the first machine can be had. */
         for (uint32_t i = 0; i < j->spec->tasks && !done; i++) {
-            plan_task(p, j, &w, j->spec->tasks, &done);
+            plan_task(p, j, &w, j->spec->tasks, false, &done);
             if (j->spec->one_zone && ctl->nundo) w.zone = ctl->undo[0];
         }
     } else {
         for (; left && !done && within_plan(p, j, 1); left--) {
-            plan_task(p, j, &w, left, &done);
+            plan_task(p, j, &w, left, patient, &done);
             amb_res_add(&p->extra[team], &j->spec->each, 1);
         }
     }
