--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -24,6 +24,7 @@
     const uint32_t *zone_used; /* the job's tasks by zone, unproven ones included */
     uint32_t zone_most;        /* at most so many in one zone; 0: any number */
     bool lasting;              /* runs until it is cancelled */
+    bool patient;              /* nobody waits for its start */
 };
 
 bool amb_place_allowed(const struct amb_wish *w, const struct amb_slot *s);
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -123,6 +123,14 @@
     free(r->slots);
 }
 
+static const struct amb_objective *wait_objective(const struct amb_node *n, const struct amb_spec *s) {
+    for (uint32_t i = 0; i < n->set.nobjectives; i++)
+        if (!strcmp(n->set.objectives[i].kind, "wait") &&
+            !strcmp(n->set.objectives[i].class_name, s->class_name))
+            return &n->set.objectives[i];
+    return NULL;
+}
+
 static void wish_of(struct round *r, struct amb_job *j, struct amb_wish *w) {
     memset(w, 0, sizeof *w);
     amb_job_allows_type(r->n, j, 0);
@@ -131,6 +139,7 @@
     w->zone = amb_catalog_zone(&r->n->catalog, j->spec->zone);
     w->spot = j->spec->spot;
     w->lasting = j->spec->kind == AMB_SERVICE;
+    w->patient = j->spec->kind == AMB_ARRAY && !wait_objective(r->n, j->spec);
     w->zone_used = j->zone_used;
     w->zone_most = j->spec->spread ? amb_place_spread_most(j->spec->tasks) : 0;
     if (j->spec->one_zone && j->spec->kind != AMB_GANG)
@@ -288,14 +297,6 @@
     return true;
 }
 
-static const struct amb_objective *wait_objective(const struct amb_node *n, const struct amb_spec *s) {
-    for (uint32_t i = 0; i < n->set.nobjectives; i++)
-        if (!strcmp(n->set.objectives[i].kind, "wait") &&
-            !strcmp(n->set.objectives[i].class_name, s->class_name))
-            return &n->set.objectives[i];
-    return NULL;
-}
-
 /* Would the fetch alone use up most of the time in which the job's class is to start? */
 static bool fetch_too_long(const struct round *r, const struct amb_job *j, const struct amb_slot *s) {
     const struct amb_objective *o = wait_objective(r->n, j->spec);
--- a/lib/place.c
+++ b/lib/place.c
@@ -53,7 +53,7 @@
         if (!amb_res_fits(&w->need, &room)) continue;
         /* An image at hand first: fetching one takes longer than most tasks may wait. Then spot machines,
          * which only some jobs can use. Then the fullest, so that others empty and can be returned. */
-        double score = (s->has_image ? 4 : 0) + (s->spot ? 2 : 0);
+        double score = (s->has_image ? (w->patient ? 0.5 : 4) : 0) + (s->spot ? 2 : 0);
         if (s->size_gpus > 0) score += 1 - (room.gpus - w->need.gpus) / s->size_gpus;
         /* Tasks that last keep together: a machine with one of them can't be returned, and a machine with
          * none can as soon as its batch work ends. */
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -21,18 +21,18 @@
         bool soon;
         int want;
     } rows[] = {
-        {"the image at hand", {{8, 1, 40}, 3, -1, false, none, 0, false}, false, 3},
-        {"the fullest that takes it", {{8, 2, 40}, 3, -1, false, none, 0, false}, false, 1},
-        {"spot for those who may", {{8, 2, 40}, 3, -1, true, none, 0, false}, false, 2},
-        {"too large for the half full", {{8, 5, 40}, 3, -1, false, none, 0, false}, false, 0},
-        {"only in B, no spot", {{8, 2, 40}, 3, B, false, none, 0, false}, false, -1},
-        {"room that comes", {{16, 2, 80}, 3, B, false, none, 0, false}, true, 3},
-        {"another type", {{8, 1, 40}, 1, -1, false, none, 0, false}, false, 1},
-        {"no such type", {{8, 1, 40}, 4, -1, false, none, 0, false}, false, -1},
-        {"spread: A has its half", {{8, 1, 40}, 1, -1, true, two_in_a, 2, false}, false, 2},
-        {"spread: nowhere else", {{8, 2, 40}, 1, -1, false, two_in_a, 2, false}, false, -1},
-        {"memory counts", {{8, 1, 501}, 3, -1, true, none, 0, false}, false, -1},
-        {"cores count", {{65, 1, 10}, 3, -1, true, none, 0, false}, false, -1},
+        {"the image at hand", {{8, 1, 40}, 3, -1, false, none, 0, false, false}, false, 3},
+        {"the fullest that takes it", {{8, 2, 40}, 3, -1, false, none, 0, false, false}, false, 1},
+        {"spot for those who may", {{8, 2, 40}, 3, -1, true, none, 0, false, false}, false, 2},
+        {"too large for the half full", {{8, 5, 40}, 3, -1, false, none, 0, false, false}, false, 0},
+        {"only in B, no spot", {{8, 2, 40}, 3, B, false, none, 0, false, false}, false, -1},
+        {"room that comes", {{16, 2, 80}, 3, B, false, none, 0, false, false}, true, 3},
+        {"another type", {{8, 1, 40}, 1, -1, false, none, 0, false, false}, false, 1},
+        {"no such type", {{8, 1, 40}, 4, -1, false, none, 0, false, false}, false, -1},
+        {"spread: A has its half", {{8, 1, 40}, 1, -1, true, two_in_a, 2, false, false}, false, 2},
+        {"spread: nowhere else", {{8, 2, 40}, 1, -1, false, two_in_a, 2, false, false}, false, -1},
+        {"memory counts", {{8, 1, 501}, 3, -1, true, none, 0, false, false}, false, -1},
+        {"cores count", {{65, 1, 10}, 3, -1, true, none, 0, false, false}, false, -1},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
         int got = amb_place_pick(&rows[i].wish, slots, ROWS(slots), rows[i].soon);
@@ -48,7 +48,7 @@
         {{64, 2, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 6, 0},
         {{64, 4, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 2, 4},
     };
-    struct amb_wish w = {{8, 2, 40}, 1, -1, false, none, 0, true};
+    struct amb_wish w = {{8, 2, 40}, 1, -1, false, none, 0, true, false};
     assert_int_equal(amb_place_pick(&w, slots, ROWS(slots), false), 1);
     w.lasting = false;
     assert_int_equal(amb_place_pick(&w, slots, ROWS(slots), false), 0);
