Room is kept for gangs whose class is to start soon; batch work that can wait stays clear of it

Headroom now covers every class with a wait objective, and a machine that stands for it is left alone by batch work that has time.

--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -185,6 +185,7 @@
     amb_ms known_at, reported_at, answered_at, listed_at, idle_since, state_at, seek_at, avoid_until;
     amb_ms first_at;     /* when this node first knew it */
     uint64_t list_pass;  /* the cloud's list that last named it */
+    int kept_for;        /* priority of expected work that it is kept for; -1: none */
     bool drain;          /* being emptied, to be returned */
     bool failed;         /* by the cloud's word: it stopped on its own */
     amb_ms notice_until; /* the cloud takes it then; 0: no notice */
--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -12,8 +12,9 @@
     int type, zone;
     bool spot, has_image, usable;
     struct amb_machine *machine; /* NULL: would be rented */
-    uint32_t planned; /* tasks that a plan has given it, on top of what it runs */
-    double lasting; /* GPUs of tasks that run until they are cancelled */
+    uint32_t planned;            /* tasks that a plan has given it, on top of what it runs */
+    int kept_for;                /* for expected work of this priority, that users wait for; -1: not kept */
+    double lasting;              /* GPUs of tasks that run until they are cancelled */
 };
 
 struct amb_wish { /* what one task needs */
@@ -24,7 +25,9 @@
     const uint32_t *zone_used; /* the job's tasks by zone, unproven ones included */
     uint32_t zone_most;        /* at most so many in one zone; 0: any number */
     bool lasting;              /* runs until it is cancelled */
-    bool patient;              /* nobody waits for its start */
+    enum amb_priority priority;
+    bool patient;  /* nobody waits for its start */
+    bool can_wait; /* and it will be done in time all the same */
 };
 
 bool amb_place_allowed(const struct amb_wish *w, const struct amb_slot *s);
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -50,6 +50,7 @@
     s->room = r->n->catalog.types[type].size;
     s->size_gpus = s->room.gpus;
     s->usable = true;
+    s->kept_for = -1;
     return s;
 }
 
@@ -58,6 +59,7 @@
     amb_res_add(&s->room, &m->used, -1);
     s->usable = usable;
     s->machine = m;
+    s->kept_for = m->kept_for;
     for (struct amb_task *t = m->tasks; t; t = t->next) {
         if (t->halting) amb_res_add(&s->soon, &t->job->spec->each, 1);
         if (t->job->spec->kind == AMB_SERVICE) s->lasting += t->job->spec->each.gpus;
@@ -131,6 +133,27 @@
     return NULL;
 }
 
+/* May it still wait for room that frees itself, and be done in time? Batch work ends all the time, while a
+ * rented machine is paid for while it boots. */
+static bool can_wait(const struct amb_node *n, const struct amb_job *j) {
+    const struct amb_spec *s = j->spec;
+    if (s->kind != AMB_ARRAY || s->priority >= AMB_HIGH || wait_objective(n, s)) return false;
+    double target = s->deadline_s, lead = 0;
+    for (uint32_t i = 0; i < n->set.nobjectives && s->deadline_s <= 0; i++) {
+        const struct amb_objective *o = &n->set.objectives[i];
+        if (strcmp(o->kind, "finished") || strcmp(o->class_name, s->class_name)) continue;
+        if (target <= 0 || o->within_s < target) target = o->within_s;
+    }
+    for (uint32_t t = 0; t < n->catalog.ntypes; t++) {
+        const struct amb_type *type = &n->catalog.types[t];
+        if (!(j->type_mask >> t & 1)) continue;
+        lead = fmax(lead, type->boot_s + (type->fetch_gb_s > 0 ? s->image_gb / type->fetch_gb_s : 0));
+    }
+    double age = (double)(amb_wall_ms() - j->accepted_wall) / 1000;
+    /* Estimates are often wrong by half. */
+    return age + lead + s->estimate_s * 1.5 < target;
+}
+
 static void wish_of(struct round *r, struct amb_job *j, struct amb_wish *w) {
     memset(w, 0, sizeof *w);
     amb_job_allows_type(r->n, j, 0);
@@ -139,7 +162,9 @@
     w->zone = amb_catalog_zone(&r->n->catalog, j->spec->zone);
     w->spot = j->spec->spot;
     w->lasting = j->spec->kind == AMB_SERVICE;
+    w->priority = j->spec->priority;
     w->patient = j->spec->kind == AMB_ARRAY && !wait_objective(r->n, j->spec);
+    w->can_wait = can_wait(r->n, j);
     w->zone_used = j->zone_used;
     w->zone_most = j->spec->spread ? amb_place_spread_most(j->spec->tasks) : 0;
     if (j->spec->one_zone && j->spec->kind != AMB_GANG)
@@ -384,7 +409,7 @@
         for (uint32_t k = 0; k < type->nzones; k++) {
             int z = amb_catalog_zone(&n->catalog, type->zones[k]);
             for (int spot = 0; spot <= (int)w->spot; spot++) {
-                struct amb_slot s = {.type = (int)t, .zone = z, .spot = spot, .usable = true};
+                struct amb_slot s = {.type = (int)t, .zone = z, .spot = spot, .usable = true, .kept_for = -1};
                 if (z < 0 || !amb_place_allowed(w, &s) || amb_rental_refused(n, (int)t, z, spot, r->now))
                     continue;
                 double cost = (spot ? type->spot_price : type->price) / fmin(times, most ? most : 1);
@@ -411,7 +436,8 @@
     return amb_wdrr_within_limit(&t, &j->spec->each, times);
 }
 
-static void plan_task(struct plan *p, struct amb_job *j, struct amb_wish *w, uint32_t most, bool patient, bool *done) {
+static void plan_task(struct plan *p, struct amb_job *j, struct amb_wish *w, uint32_t most, bool patient,
+                      bool *done) {
     struct round *r = p->r;
     int at = amb_place_pick(w, r->slots, r->nslots, true);
     *done = false;
@@ -439,33 +465,11 @@
     r->n->ctl.undo[r->n->ctl.nundo++] = s->zone;
 }
 
-/* May it still wait for room that frees itself, and be done in time? Batch work ends all the time, while a
- * rented machine is paid for while it boots. */
-static bool can_wait(const struct plan *p, const struct amb_job *j) {
-    const struct amb_node *n = p->r->n;
-    const struct amb_spec *s = j->spec;
-    if (s->kind != AMB_ARRAY || s->priority >= AMB_HIGH || wait_objective(n, s)) return false;
-    double target = s->deadline_s, lead = 0;
-    for (uint32_t i = 0; i < n->set.nobjectives && s->deadline_s <= 0; i++) {
-        const struct amb_objective *o = &n->set.objectives[i];
-        if (strcmp(o->kind, "finished") || strcmp(o->class_name, s->class_name)) continue;
-        if (target <= 0 || o->within_s < target) target = o->within_s;
-    }
-    for (uint32_t t = 0; t < n->catalog.ntypes; t++) {
-        const struct amb_type *type = &n->catalog.types[t];
-        if (!(j->type_mask >> t & 1)) continue;
-        lead = fmax(lead, type->boot_s + (type->fetch_gb_s > 0 ? s->image_gb / type->fetch_gb_s : 0));
-    }
-    double age = (double)(amb_wall_ms() - j->accepted_wall) / 1000;
-    /* Estimates are often wrong by half. */
-    return age + lead + s->estimate_s * 1.5 < target;
-}
-
 static void plan_job(struct plan *p, struct amb_job *j) {
     struct round *r = p->r;
     struct amb_controller *ctl = &r->n->ctl;
     struct amb_wish w;
-    bool done = false, patient = can_wait(p, j);
+    bool done = false, patient = can_wait(r->n, j);
     uint32_t left = amb_job_waiting(j), team = (uint32_t)(j->team - r->n->set.teams);
     mark_images(r, j);
     wish_of(r, j, &w);
@@ -500,10 +504,12 @@
 static void plan_headroom(struct plan *p) {
     struct round *r = p->r;
     struct amb_node *n = r->n;
+    for (uint32_t i = 0; i < r->nslots; i++)
+        if (r->slots[i].machine) r->slots[i].machine->kept_for = -1;
     uint32_t none[AMB_ZONES] = {0};
     for (uint32_t i = 0; i < n->ctl.ndemands; i++) {
         struct amb_demand *d = &n->ctl.demands[i];
-        if (d->last.priority < AMB_HIGH || d->rate <= 0) continue;
+        if (d->rate <= 0) continue;
         double boot = 0;
         uint32_t mask = 0;
         for (uint32_t t = 0; t < n->catalog.ntypes; t++) {
@@ -535,6 +541,7 @@
             if (!s) break;
             amb_res_add(&s->room, &w.need, -1);
             s->planned++;
+            if (s->machine) s->machine->kept_for = (int)d->last.priority;
         }
     }
 }
@@ -665,8 +672,8 @@
         if (spare(r, s->machine) && can_empty(r, s)) best = s;
     }
     if (!best) return;
-    amb_info("machine %s: to be emptied: the rest of the fleet has room for its %u tasks", best->machine->name,
-             best->machine->ntasks);
+    amb_info("machine %s: to be emptied: the rest of the fleet has room for its %u tasks",
+             best->machine->name, best->machine->ntasks);
     best->machine->drain = true;
 }
 
@@ -739,7 +746,9 @@
     struct amb_controller *c = &n->ctl;
     amb_ms now = amb_now();
     struct amb_demand *d = NULL;
-    if (s->kind != AMB_SERVICE) return;
+    /* Work that starts late is missed, and a machine takes longer to boot than it may wait. */
+    if (s->priority < AMB_HIGH && !wait_objective(n, s)) return;
+    if (s->kind == AMB_ARRAY) return;
     for (uint32_t i = 0; i < c->ndemands && !d; i++)
         if (!strcmp(c->demands[i].class_name, s->class_name)) d = &c->demands[i];
     if (!d) {
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -31,7 +31,7 @@
     m = amb_alloc(sizeof *m);
     strcpy(m->name, name);
     m->state = AMB_MACHINE_UNPROVEN;
-    m->type = m->zone = -1;
+    m->type = m->zone = m->kept_for = -1;
     m->known_at = m->first_at = m->state_at = m->idle_since = amb_now();
     HASH_ADD_STR(n->fleet.all, name, m);
     return m;
@@ -103,8 +103,9 @@
 }
 
 bool amb_machine_usable(const struct amb_node *n, const struct amb_machine *m, amb_ms now) {
-    return m->state == AMB_MACHINE_UP && !m->release_wanted && !m->drain && !m->notice_until && now >= m->avoid_until &&
-           m->type >= 0 && m->zone >= 0 && now - m->reported_at < secs(n->set.report_s * 3);
+    return m->state == AMB_MACHINE_UP && !m->release_wanted && !m->drain && !m->notice_until &&
+           now >= m->avoid_until && m->type >= 0 && m->zone >= 0 &&
+           now - m->reported_at < secs(n->set.report_s * 3);
 }
 
 /* ---- reports ---- */
--- a/lib/place.c
+++ b/lib/place.c
@@ -34,11 +34,17 @@
     return (tasks + 1) / 2;
 }
 
+/* Work of lower priority makes way when the expected work comes; other batch work stays clear of it. */
+static bool kept_from(const struct amb_wish *w, const struct amb_slot *s) {
+    return w->patient && s->kept_for >= 0 && (int)w->priority >= s->kept_for;
+}
+
 bool amb_place_allowed(const struct amb_wish *w, const struct amb_slot *s) {
     if (!s->usable || s->type < 0 || s->zone < 0) return false;
     if (!(w->type_mask >> s->type & 1)) return false;
     if (w->zone >= 0 && w->zone != s->zone) return false;
     if (s->spot && !w->spot) return false;
+    if (w->can_wait && kept_from(w, s)) return false;
     return !w->zone_most || w->zone_used[s->zone] < w->zone_most;
 }
 
@@ -55,6 +61,7 @@
          * which only some jobs can use. Then the fullest, so that others empty and can be returned. */
         double score = (s->has_image ? (w->patient ? 0.5 : 4) : 0) + (s->spot ? 2 : 0);
         if (s->size_gpus > 0) score += 1 - (room.gpus - w->need.gpus) / s->size_gpus;
+        if (kept_from(w, s)) score -= 2;
         /* Tasks that last keep together: a machine with one of them can't be returned, and a machine with
          * none can as soon as its batch work ends. */
         if (s->size_gpus > 0 && w->lasting) score += 1.5 * s->lasting / s->size_gpus;
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -8,11 +8,11 @@
     (void)state;
     /* type 0: 8 GPUs; machines: 0 empty in A, 1 half full in A, 2 spot in B, 3 in B with the image */
     static const struct amb_slot slots[] = {
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 0, 0},
-        {{32, 4, 250}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 4, 0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, B, true, false, true, NULL, 0, 0},
-        {{8, 1, 60}, {8, 1, 60}, 8, 1, B, false, true, true, NULL, 7, 0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, false, NULL, 0, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 0, -1, 0},
+        {{32, 4, 250}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 4, -1, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, B, true, false, true, NULL, 0, -1, 0},
+        {{8, 1, 60}, {8, 1, 60}, 8, 1, B, false, true, true, NULL, 7, -1, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, false, NULL, 0, -1, 0},
     };
     static const uint32_t none[AMB_ZONES] = {0}, two_in_a[AMB_ZONES] = {2, 0};
     static const struct {
@@ -21,18 +21,33 @@
         bool soon;
         int want;
     } rows[] = {
-        {"the image at hand", {{8, 1, 40}, 3, -1, false, none, 0, false, false}, false, 3},
-        {"the fullest that takes it", {{8, 2, 40}, 3, -1, false, none, 0, false, false}, false, 1},
-        {"spot for those who may", {{8, 2, 40}, 3, -1, true, none, 0, false, false}, false, 2},
-        {"too large for the half full", {{8, 5, 40}, 3, -1, false, none, 0, false, false}, false, 0},
-        {"only in B, no spot", {{8, 2, 40}, 3, B, false, none, 0, false, false}, false, -1},
-        {"room that comes", {{16, 2, 80}, 3, B, false, none, 0, false, false}, true, 3},
-        {"another type", {{8, 1, 40}, 1, -1, false, none, 0, false, false}, false, 1},
-        {"no such type", {{8, 1, 40}, 4, -1, false, none, 0, false, false}, false, -1},
-        {"spread: A has its half", {{8, 1, 40}, 1, -1, true, two_in_a, 2, false, false}, false, 2},
-        {"spread: nowhere else", {{8, 2, 40}, 1, -1, false, two_in_a, 2, false, false}, false, -1},
-        {"memory counts", {{8, 1, 501}, 3, -1, true, none, 0, false, false}, false, -1},
-        {"cores count", {{65, 1, 10}, 3, -1, true, none, 0, false, false}, false, -1},
+        {"the image at hand", {{8, 1, 40}, 3, -1, false, none, 0, false, AMB_HIGH, false, false}, false, 3},
+        {"the fullest that takes it",
+         {{8, 2, 40}, 3, -1, false, none, 0, false, AMB_HIGH, false, false},
+         false,
+         1},
+        {"spot for those who may",
+         {{8, 2, 40}, 3, -1, true, none, 0, false, AMB_HIGH, false, false},
+         false,
+         2},
+        {"too large for the half full",
+         {{8, 5, 40}, 3, -1, false, none, 0, false, AMB_HIGH, false, false},
+         false,
+         0},
+        {"only in B, no spot", {{8, 2, 40}, 3, B, false, none, 0, false, AMB_HIGH, false, false}, false, -1},
+        {"room that comes", {{16, 2, 80}, 3, B, false, none, 0, false, AMB_HIGH, false, false}, true, 3},
+        {"another type", {{8, 1, 40}, 1, -1, false, none, 0, false, AMB_HIGH, false, false}, false, 1},
+        {"no such type", {{8, 1, 40}, 4, -1, false, none, 0, false, AMB_HIGH, false, false}, false, -1},
+        {"spread: A has its half",
+         {{8, 1, 40}, 1, -1, true, two_in_a, 2, false, AMB_HIGH, false, false},
+         false,
+         2},
+        {"spread: nowhere else",
+         {{8, 2, 40}, 1, -1, false, two_in_a, 2, false, AMB_HIGH, false, false},
+         false,
+         -1},
+        {"memory counts", {{8, 1, 501}, 3, -1, true, none, 0, false, AMB_HIGH, false, false}, false, -1},
+        {"cores count", {{65, 1, 10}, 3, -1, true, none, 0, false, AMB_HIGH, false, false}, false, -1},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
         int got = amb_place_pick(&rows[i].wish, slots, ROWS(slots), rows[i].soon);
@@ -45,15 +60,42 @@
     (void)state;
     static const uint32_t none[AMB_ZONES] = {0};
     static const struct amb_slot slots[] = {
-        {{64, 2, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 6, 0},
-        {{64, 4, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 2, 4},
+        {{64, 2, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 6, -1, 0},
+        {{64, 4, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 2, -1, 4},
     };
-    struct amb_wish w = {{8, 2, 40}, 1, -1, false, none, 0, true, false};
+    struct amb_wish w = {{8, 2, 40}, 1, -1, false, none, 0, true, AMB_HIGH, false, false};
     assert_int_equal(amb_place_pick(&w, slots, ROWS(slots), false), 1);
     w.lasting = false;
     assert_int_equal(amb_place_pick(&w, slots, ROWS(slots), false), 0);
 }
 
+/* A machine kept for expected work is left alone by batch work that can wait, taken last by batch work that
+ * can't, and open to work that would make way. */
+static void kept_machines(void **state) {
+    (void)state;
+    static const uint32_t none[AMB_ZONES] = {0};
+    static const struct amb_slot slots[] = {
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, true, NULL, 0, AMB_NORMAL, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, NULL, 0, -1, 0},
+    };
+    static const struct {
+        enum amb_priority priority;
+        bool patient, can_wait;
+        uint32_t slots;
+        int want;
+    } rows[] = {
+        {AMB_NORMAL, false, false, 2, 0},    {AMB_NORMAL, true, false, 2, 1},
+        {AMB_NORMAL, true, false, 1, 0},     {AMB_NORMAL, true, true, 1, -1},
+        {AMB_BEST_EFFORT, true, true, 1, 0},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_wish w = {{8, 1, 40},      1, -1, false, none, 0, false, rows[i].priority, rows[i].patient,
+                             rows[i].can_wait};
+        int got = amb_place_pick(&w, slots, rows[i].slots, false);
+        if (got != rows[i].want) fail_msg("row %zu: %d", i, got);
+    }
+}
+
 static void spread_is_half_rounded_up(void **state) {
     (void)state;
     static const uint32_t rows[][2] = {{1, 1}, {2, 1}, {3, 2}, {5, 3}, {9, 5}, {10, 5}};
@@ -81,6 +123,7 @@
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(picks),
         cmocka_unit_test(lasting_tasks_gather),
+        cmocka_unit_test(kept_machines),
         cmocka_unit_test(spread_is_half_rounded_up),
         cmocka_unit_test(zones_and_types_are_numbered),
     };
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -230,14 +230,20 @@
     assert_false(report("m-1", 1, 1, TERM + 1, amb_now(), NULL, 0));
 }
 
-/* Silence proves absence only after the lease, and only of a machine that has shown our token. */
+/* Silence proves absence only after the lease, only of a machine that has shown our token, only on the word
+ * of a read sent after the lease was over, and only when no deputy may have answered the machine since. */
 static void silence(void **state) {
     (void)state;
     static const struct {
         uint64_t token;
-        amb_ms silent;
+        amb_ms silent, read,
+            deputy; /* after the answer; read -1: none; deputy -1: none, else when last known */
         bool absent;
-    } rows[] = {{TERM, 9000, false}, {TERM, 10000, false}, {TERM, 11000, true}, {TERM - 1, 11000, false}};
+    } rows[] = {
+        {TERM, 9000, 9000, -1, false},       {TERM, 10000, 10000, -1, false},  {TERM, 11000, 11000, -1, true},
+        {TERM - 1, 11000, 11000, -1, false}, {TERM, 11000, 9000, -1, false},   {TERM, 11000, -1, -1, false},
+        {TERM, 11000, 11000, 5000, false},   {TERM, 16000, 16000, 5000, true},
+    };
     for (size_t i = 0; i < ROWS(rows); i++) {
         struct amb_job *j = add_job(i ? (char[]){'w', 'k', '-', (char)('0' + i), 0} : "wk-0", AMB_SERVICE, 1);
         char name[16];
@@ -247,6 +253,10 @@
         amb_ms now = amb_now();
         node->ctl.leading_since = now;
         assert_true(report(name, 1, 1, rows[i].token, now, &seen, 1));
+        node->jobs.fresh_sent_at = rows[i].read < 0 ? 0 : now + rows[i].read;
+        node->jobs.syncing = true; /* the read that would be asked for is not under test */
+        int zone = amb_catalog_zone(&node->catalog, "a");
+        node->deputy.zone_at[zone] = rows[i].deputy < 0 ? 0 : now + rows[i].deputy;
         amb_fleet_tick(node, now + rows[i].silent);
         if ((t->machine == NULL) != rows[i].absent) fail_msg("row %zu", i);
     }
@@ -261,6 +271,7 @@
     amb_ms now = amb_now();
     assert_true(report("m-1", 1, 2, TERM, now, &seen, 1));
     assert_true(report("m-1", 1, 1, TERM, now + 6000, &seen, 1));
+    node->jobs.fresh_sent_at = now + 20000;
     amb_fleet_tick(node, now + 11000);
     assert_non_null(t->machine);
     amb_fleet_tick(node, now + 17000);
