Headroom is looked for where the images that a class asks for are

Cause: room kept for a class was counted wherever it lay, with the image marks of whatever job was looked at last.

--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -223,11 +223,15 @@
 
 /* ---- controller: wires them; the leader's round ---- */
 
+enum { AMB_DEMAND_IMAGES = 6 };
+
 struct amb_demand { /* what a class of jobs has asked for lately */
     char class_name[AMB_NAME];
     struct amb_spec last;
     double rate;  /* tasks a second, decayed */
     double size2; /* mean square of a job's tasks */
+    uint32_t nimages;
+    char images[AMB_DEMAND_IMAGES][AMB_NAME]; /* those asked for, latest first */
     amb_ms at;
 };
 
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -172,10 +172,13 @@
             if (j->zone_used[z]) w->zone = (int)z;
 }
 
-static void mark_images(struct round *r, const struct amb_job *j) {
+static void mark_image(struct round *r, const char *image) {
     for (uint32_t i = 0; i < r->nslots; i++)
-        r->slots[i].has_image =
-            r->slots[i].machine && amb_machine_has_image(r->slots[i].machine, j->spec->image);
+        r->slots[i].has_image = r->slots[i].machine && amb_machine_has_image(r->slots[i].machine, image);
+}
+
+static void mark_images(struct round *r, const struct amb_job *j) {
+    mark_image(r, j->spec->image);
 }
 
 /* ---- admission ---- */
@@ -525,12 +528,13 @@
         double count = n->opt.headroom * sqrt(d->rate * fade * boot * d->size2);
         struct amb_wish w = {.need = d->last.each, .type_mask = mask, .zone = -1, .zone_used = none};
         for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < AMB_PLAN_TASKS; k++) {
+            mark_image(r, d->images[k % d->nimages]); /* a share of the room for each image asked for */
             int at = amb_place_pick(&w, r->slots, r->nslots, true);
             struct amb_slot *s = at >= 0 ? &r->slots[at] : NULL;
             /* Work that would make way for it is as good as free room. */
-            for (uint32_t q = 0; !s && q < r->nslots; q++) {
+            for (uint32_t q = 0; (!s || !s->has_image) && q < r->nslots; q++) {
                 struct amb_slot *c = &r->slots[q];
-                if (!c->machine || c->spot || !amb_place_allowed(&w, c)) continue;
+                if (!c->machine || c->spot || !amb_place_allowed(&w, c) || (s && !c->has_image)) continue;
                 struct amb_res room = c->room;
                 amb_res_add(&room, &c->soon, 1);
                 for (struct amb_task *t = c->machine->tasks; t; t = t->next)
@@ -766,6 +770,14 @@
     double square = (double)s->tasks * s->tasks;
     d->size2 = d->size2 > 0 ? d->size2 * 0.9 + square * 0.1 : square;
     d->last = *s;
+    uint32_t i = 0;
+    while (i < d->nimages && strcmp(d->images[i], s->image)) i++;
+    if (i == d->nimages) {
+        if (d->nimages < AMB_DEMAND_IMAGES) d->nimages++;
+        i = d->nimages - 1;
+    }
+    memmove(d->images[1], d->images[0], i * sizeof d->images[0]);
+    strcpy(d->images[0], s->image);
 }
 
 /* ---- taking over ---- */
