--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -192,6 +192,7 @@
     uint32_t faults, ntasks, good;
     struct amb_res used;
     struct amb_task *tasks;
+    bool images_changed; /* since the other nodes were told */
     uint32_t nimages;
     char images[AMB_IMAGES][AMB_NAME]; /* most recently used first */
     double image_gb[AMB_IMAGES];
--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -209,7 +209,11 @@
     struct amb_node *node;
 };
 
+struct json_t;
+
 struct amb_peers {
+    struct json_t *images; /* by machine, as the leader last said: what its cache is thought to hold */
+    uint32_t beats;
     uint32_t count;
     struct amb_peer list[AMB_PEERS];
     struct amb_timer timer;
@@ -219,6 +223,7 @@
 /* Do workers come to another node, or can no other node be reached at all? */
 bool amb_peer_better_placed(const struct amb_node *n, amb_ms now);
 amb_ms amb_peer_confirmed(const struct amb_node *n); /* since when all peers last confirmed our lead */
+void amb_peer_recall_images(struct amb_node *n, struct amb_machine *m); /* for a machine new to this node */
 bool amb_peer_store_ok(const struct amb_node *n, amb_ms now);
 
 /* ---- controller: wires them; the leader's round ---- */
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -34,6 +34,7 @@
     m->type = m->zone = m->kept_for = -1;
     m->known_at = m->first_at = m->state_at = m->idle_since = amb_now();
     HASH_ADD_STR(n->fleet.all, name, m);
+    amb_peer_recall_images(n, m);
     return m;
 }
 
@@ -88,6 +89,7 @@
     uint32_t i = 0;
     while (i < m->nimages && strcmp(m->images[i], image)) i++;
     if (i == m->nimages) {
+        m->images_changed = true;
         if (m->nimages < AMB_IMAGES) m->nimages++;
         i = m->nimages - 1;
     }
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -83,12 +83,50 @@
     return list;
 }
 
+/* Which images lie where is nowhere on record: a new leader would send tasks to fetch what is at hand
+ * elsewhere. So the leader tells the others, changes as they come and everything now and then. */
+static json_t *images(struct amb_node *n, bool all) {
+    json_t *by_machine = json_object();
+    for (struct amb_machine *m = n->fleet.all; m; m = m->hh.next) {
+        if (!all && !m->images_changed) continue;
+        json_t *list = json_array();
+        for (uint32_t i = 0; i < m->nimages; i++)
+            json_array_append_new(list, json_pack("[s,f]", m->images[i], m->image_gb[i]));
+        json_object_set_new(by_machine, m->name, list);
+    }
+    return by_machine;
+}
+
+static void learn_images(struct amb_node *n, const json_t *told) {
+    if (!json_is_object(told)) return;
+    json_t **known = (json_t **)&n->peers.images;
+    if (!*known) *known = json_object();
+    if (json_object_size(*known) > 4096) json_object_clear(*known); /* names are never used again */
+    json_object_update(*known, (json_t *)told);
+}
+
+void amb_peer_recall_images(struct amb_node *n, struct amb_machine *m) {
+    size_t i;
+    json_t *row;
+    json_t *list = json_object_get((json_t *)n->peers.images, m->name);
+    json_array_foreach(list, i, row) {
+        const char *name;
+        double gb;
+        if (m->nimages == AMB_IMAGES || json_unpack(row, "[s,F]", &name, &gb) || strlen(name) >= AMB_NAME) continue;
+        strcpy(m->images[m->nimages], name);
+        m->image_gb[m->nimages++] = gb;
+    }
+}
+
 static void beat(void *arg) {
     struct amb_node *n = arg;
     amb_ms now = amb_now();
     amb_timer_in(&n->peers.timer, (amb_ms)(n->set.report_s * 500), beat, n);
     json_t *j = describe(n);
-    if (amb_leads(n)) json_object_set_new(j, "jobs", progress(n));
+    if (amb_leads(n)) {
+        json_object_set_new(j, "jobs", progress(n));
+        json_object_set_new(j, "images", images(n, n->peers.beats++ % 16 == 0));
+    }
     char *text = json_dumps(j, JSON_COMPACT);
     bool all = true;
     for (uint32_t i = 0; i < n->peers.count; i++) {
@@ -102,8 +140,10 @@
         amb_http_call(p->addr, "POST", "/peer/beat", "application/json", text, strlen(text),
                       (amb_ms)(n->set.report_s * 1000), beat_done, p);
     }
-    if (all && amb_leads(n))
+    if (all && amb_leads(n)) {
         for (struct amb_job *job = n->jobs.live; job; job = job->next_live) job->shown_changed = false;
+        for (struct amb_machine *m = n->fleet.all; m; m = m->hh.next) m->images_changed = false;
+    }
     free(text);
     json_decref(j);
 }
@@ -137,7 +177,10 @@
     }
     for (uint32_t i = 0; i < n->peers.count; i++)
         if (!strcmp(n->peers.list[i].member, from)) heard(n, &n->peers.list[i], j, 0);
-    if (!amb_leads(n)) learn_progress(n, j);
+    if (!amb_leads(n)) {
+        learn_progress(n, j);
+        learn_images(n, json_object_get(j, "images"));
+    }
     json_decref(j);
     json_t *answer = describe(n);
     char *text = json_dumps(answer, JSON_COMPACT);
