Places are weighed by how long the image takes to fetch there, not only whether it is at hand

Cause: convenio-judge went to large machines without its image (19 s to fetch of the 12 s allowed) while small ones fetch in 9 s.

--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -11,6 +11,7 @@
     double size_gpus;    /* of the machine */
     int type, zone;
     bool spot, has_image, usable;
+    double late; /* share of the time in which the task is to start that fetching its image takes; 0 to 1 */
     struct amb_machine *machine; /* NULL: would be rented */
     uint32_t planned;            /* tasks that a plan has given it, on top of what it runs */
     int kept_for;                /* for expected work of this priority, that users wait for; -1: not kept */
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -172,13 +172,21 @@
             if (j->zone_used[z]) w->zone = (int)z;
 }
 
-static void mark_image(struct round *r, const char *image) {
-    for (uint32_t i = 0; i < r->nslots; i++)
-        r->slots[i].has_image = r->slots[i].machine && amb_machine_has_image(r->slots[i].machine, image);
+/* Marks where the image is, and how long fetching it elsewhere takes of the time within which the task is to
+ * start (or, when nobody waits for its start, of what it runs for). */
+static void mark_image(struct round *r, const struct amb_spec *spec, const char *image) {
+    const struct amb_objective *o = wait_objective(r->n, spec);
+    double within = o ? o->within_s : spec->estimate_s > 0 ? spec->estimate_s : r->n->set.lease_s;
+    for (uint32_t i = 0; i < r->nslots; i++) {
+        struct amb_slot *s = &r->slots[i];
+        double rate = r->n->catalog.types[s->type].fetch_gb_s;
+        s->has_image = s->machine && amb_machine_has_image(s->machine, image);
+        s->late = s->has_image || rate <= 0 || within <= 0 ? 0 : fmin(1, spec->image_gb / rate / within);
+    }
 }
 
 static void mark_images(struct round *r, const struct amb_job *j) {
-    mark_image(r, j->spec->image);
+    mark_image(r, j->spec, j->spec->image);
 }
 
 /* ---- admission ---- */
@@ -528,7 +536,8 @@
         double count = n->opt.headroom * sqrt(d->rate * fade * boot * d->size2);
         struct amb_wish w = {.need = d->last.each, .type_mask = mask, .zone = -1, .zone_used = none};
         for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < AMB_PLAN_TASKS; k++) {
-            mark_image(r, d->images[k % d->nimages]); /* a share of the room for each image asked for */
+            mark_image(r, &d->last,
+                       d->images[k % d->nimages]); /* a share of the room for each image asked for */
             int at = amb_place_pick(&w, r->slots, r->nslots, true);
             struct amb_slot *s = at >= 0 ? &r->slots[at] : NULL;
             /* Work that would make way for it is as good as free room. */
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -112,7 +112,8 @@
     json_array_foreach(list, i, row) {
         const char *name;
         double gb;
-        if (m->nimages == AMB_IMAGES || json_unpack(row, "[s,F]", &name, &gb) || strlen(name) >= AMB_NAME) continue;
+        if (m->nimages == AMB_IMAGES || json_unpack(row, "[s,F]", &name, &gb) || strlen(name) >= AMB_NAME)
+            continue;
         strcpy(m->images[m->nimages], name);
         m->image_gb[m->nimages++] = gb;
     }
--- a/lib/place.c
+++ b/lib/place.c
@@ -57,9 +57,10 @@
         struct amb_res room = s->room;
         if (soon) amb_res_add(&room, &s->soon, 1);
         if (!amb_res_fits(&w->need, &room)) continue;
-        /* An image at hand first: fetching one takes longer than most tasks may wait. Then spot machines,
-         * which only some jobs can use. Then the fullest, so that others empty and can be returned. */
-        double score = (s->has_image ? (w->patient ? 0.5 : 4) : 0) + (s->spot ? 2 : 0);
+        /* An image at hand, or soon fetched, first: fetching takes longer than most tasks may wait. Then spot
+         * machines, which only some jobs can use. Then the fullest, so that others empty and can be returned.
+         */
+        double score = (w->patient ? 0.5 : 4) * (1 - s->late) + (s->spot ? 2 : 0);
         if (s->size_gpus > 0) score += 1 - (room.gpus - w->need.gpus) / s->size_gpus;
         if (kept_from(w, s)) score -= 2;
         /* Tasks that last keep together: a machine with one of them can't be returned, and a machine with
