--- a/lib/record.c
+++ b/lib/record.c
@@ -321,8 +321,10 @@
 }
 
 static void pump_job(struct amb_node *n, struct amb_job *j, amb_ms now) {
-    if (j->state == AMB_JOB_QUEUED && j->ndone == j->spec->tasks && !j->nbound) {
-        if (!j->finishing && now >= j->finish_retry_at && !in_flight(j)) finish(n, j);
+    /* A block that is still being written comes first: its write may have to be sent again, and the end of
+     * the job must not pass it by. */
+    if (j->state == AMB_JOB_QUEUED && j->ndone == j->spec->tasks && !j->nbound && !in_flight(j)) {
+        if (!j->finishing && now >= j->finish_retry_at) finish(n, j);
         return;
     }
     bool stood = false;
--- /dev/null
+++ b/tests/standin.h
@@ -0,0 +1,49 @@
+/* A stand-in for everything around the controllers: state service, cloud, machines, users and the network, in
+ * simulated time. It takes the place of the library's clock, loop and HTTP, so that whole nodes run in one
+ * process, the same way every time for a seed. It breaks what it is told to break and checks the protocol's
+ * rules at every start, answer and tick. */
+#ifndef AMBERPIN_TESTS_STANDIN_H
+#define AMBERPIN_TESTS_STANDIN_H
+
+#include "amberpin/node.h"
+
+enum { SIM_NODES = 3 };
+
+enum sim_fault_kind {
+    SIM_KILL,            /* node dies, comes back after a while */
+    SIM_KILL_BRIEF,      /* node dies, comes back at once */
+    SIM_CUT_STATE,       /* node can't reach the state service */
+    SIM_REFUSE_STATE,    /* the state service refuses this node alone */
+    SIM_CUT_WORKERS,     /* no worker can reach the node */
+    SIM_CUT_PEERS,       /* node can't reach the other nodes, nor they it */
+    SIM_CUT_ALL,         /* all of that */
+    SIM_CUT_BUT_WORKERS, /* only the workers reach it */
+    SIM_OUTAGE,          /* the state service refuses everybody */
+    SIM_HANG,            /* a machine stands still, and goes on later */
+    SIM_DIE,             /* a machine stops for good */
+    SIM_DEAF,            /* a machine's reports arrive, answers don't reach it */
+    SIM_COPIES,          /* copies of a machine's reports come late */
+    SIM_LOSE_ANSWERS,    /* the state service and the cloud carry requests out, but answers are lost */
+    SIM_LATE,            /* requests to the state service and the cloud are carried out late, unanswered */
+    SIM_BAD_MACHINE,     /* a machine fails every task it starts */
+    SIM_NO_CAPACITY,     /* the cloud has nothing to rent */
+    SIM_ZONES_APART,     /* the two zones can't reach each other */
+    SIM_FAULTS,
+};
+
+struct sim_fault {
+    enum sim_fault_kind kind;
+    amb_ms at, lasts;
+    int which; /* node or machine; -1: the leader, or the machine with most tasks */
+};
+
+struct sim_result {
+    uint32_t accepted, done, cancelled, starts,
+        open;         /* open: accepted arrays and gangs not done at the end */
+    char broken[256]; /* the first rule broken; empty: none */
+};
+
+/* Plays a day of `length` with jobs and small luck drawn from the seed. */
+struct sim_result sim_day(uint64_t seed, amb_ms length, const struct sim_fault *faults, size_t nfaults);
+
+#endif
--- /dev/null
+++ b/tests/test_standin.c
@@ -0,0 +1,109 @@
+/* Whole days against the stand-in: one trouble at a time, then several drawn at once. Every rule must hold at
+ * every moment, and once the troubles are over all that was accepted must get done. */
+#include "check.h"
+#include "standin.h"
+
+#include "amberpin/log.h"
+
+enum { DAY = 240000 };
+
+static const char *const names[] = {
+    "kill",    "brief kill",      "cut state",     "refuse state", "cut workers", "cut peers",
+    "cut all", "cut but workers", "outage",        "hang",         "die",         "deaf",
+    "copies",  "lost answers",    "late requests", "bad machine",  "no capacity", "zones apart"};
+
+static void must_hold(const char *what, uint64_t seed, const struct sim_fault *f, size_t n) {
+    struct sim_result r = sim_day(seed, DAY, f, n);
+    if (r.broken[0]) fail_msg("%s, seed %llu: %s", what, (unsigned long long)seed, r.broken);
+    if (r.accepted < 12 || r.done < 3 || r.starts < 10 || r.open)
+        fail_msg("%s, seed %llu: %u accepted, %u done, %u starts, %u left open", what,
+                 (unsigned long long)seed, r.accepted, r.done, r.starts, r.open);
+}
+
+static void quiet_days(void **state) {
+    (void)state;
+    for (uint64_t seed = 1; seed <= 4; seed++) must_hold("quiet", seed, NULL, 0);
+}
+
+static void single_troubles(void **state) {
+    (void)state;
+    for (int kind = 0; kind < SIM_FAULTS; kind++)
+        for (uint64_t seed = 1; seed <= 2; seed++) {
+            const struct sim_fault f[] = {{(enum sim_fault_kind)kind, 25000, 20000 + 9000 * (amb_ms)seed, -1},
+                                          {(enum sim_fault_kind)kind, 80000, 25000, -1}};
+            must_hold(names[kind], seed, f, ROWS(f));
+        }
+}
+
+/* The combinations that the standard days of a site lack. */
+static void named_days(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        struct sim_fault f[6];
+        size_t n;
+    } days[] = {
+        {"all controllers lost during an outage",
+         {{SIM_OUTAGE, 30000, 30000, -1},
+          {SIM_KILL, 40000, 1, 0},
+          {SIM_KILL, 40000, 1, 1},
+          {SIM_KILL, 40000, 1, 2}},
+         4},
+        {"restarts in mid-election",
+         {{SIM_KILL, 30000, 1, -1},
+          {SIM_KILL_BRIEF, 33100, 1, 0},
+          {SIM_KILL_BRIEF, 33300, 1, 1},
+          {SIM_KILL_BRIEF, 33500, 1, 2},
+          {SIM_KILL_BRIEF, 34000, 1, -1}},
+         5},
+        {"a long outage", {{SIM_OUTAGE, 25000, 70000, -1}}, 1},
+        {"late requests and a new leader",
+         {{SIM_LATE, 20000, 60000, -1}, {SIM_KILL, 30000, 1, -1}, {SIM_KILL, 50000, 1, -1}},
+         3},
+        {"lost answers and a new leader",
+         {{SIM_LOSE_ANSWERS, 20000, 60000, -1}, {SIM_KILL, 30000, 1, -1}, {SIM_CUT_STATE, 50000, 20000, -1}},
+         3},
+        {"copies of reports across take-overs",
+         {{SIM_COPIES, 15000, 90000, 0},
+          {SIM_COPIES, 15000, 90000, 1},
+          {SIM_KILL, 40000, 1, -1},
+          {SIM_KILL, 60000, 1, -1}},
+         4},
+        {"only the workers reach the leader", {{SIM_CUT_BUT_WORKERS, 30000, 40000, -1}}, 1},
+        {"zones apart and the leader dies",
+         {{SIM_ZONES_APART, 30000, 30000, -1}, {SIM_KILL, 35000, 1, -1}},
+         2},
+        {"a deaf machine while the cloud is empty",
+         {{SIM_DEAF, 25000, 40000, -1}, {SIM_NO_CAPACITY, 20000, 40000, -1}},
+         2},
+    };
+    for (size_t i = 0; i < ROWS(days); i++)
+        for (uint64_t seed = 1; seed <= 2; seed++) must_hold(days[i].what, seed, days[i].f, days[i].n);
+}
+
+static void drawn_days(void **state) {
+    (void)state;
+    for (uint64_t seed = 1; seed <= 16; seed++) {
+        struct sim_fault f[6];
+        uint64_t x = seed * 0x9e3779b97f4a7c15u;
+        for (size_t i = 0; i < ROWS(f); i++) {
+            x ^= x << 13, x ^= x >> 7, x ^= x << 17;
+            f[i].kind = (enum sim_fault_kind)(x % SIM_FAULTS);
+            f[i].at = 15000 + (amb_ms)(x >> 16) % 90000;
+            f[i].lasts = 3000 + (amb_ms)(x >> 40) % 30000;
+            f[i].which = -1;
+        }
+        must_hold("drawn", seed, f, ROWS(f));
+    }
+}
+
+int main(void) {
+    amb_log_init(getenv("LOG_LEVEL") ? getenv("LOG_LEVEL") : "error");
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(quiet_days),
+        cmocka_unit_test(single_troubles),
+        cmocka_unit_test(named_days),
+        cmocka_unit_test(drawn_days),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
