--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -28,7 +28,7 @@
     uint64_t lease, nonce, expect;
     amb_ms shun_until; /* after giving the lead up: others first */
     amb_ms vacant_since;
-    amb_ms ttl, renewed_at, renew_sent_at, claim_at, unsure_at;
+    amb_ms ttl, renewed_at, renew_sent_at, claim_at;
     bool renewing, key_known;
     char holder[AMB_NAME]; /* member named by the leader key; empty: none */
     uint64_t holder_stamp, holder_nonce;
@@ -41,7 +41,9 @@
 void amb_election_key(struct amb_node *n, const cbor_item_t *value,
                       uint64_t stamp); /* NULL: the key is gone */
 void amb_election_saw_term(struct amb_node *n, uint64_t term, const char *who);
-bool amb_leads(const struct amb_node *n);              /* answers reports with our token */
+bool amb_leads(const struct amb_node *n); /* answers reports with our token */
+bool amb_holds_lead(
+    const struct amb_node *n); /* leads, or is mute for a while: its view of the world is kept */
 bool amb_may_start(const struct amb_node *n);          /* surely leads */
 const char *amb_leader_name(const struct amb_node *n); /* NULL: unknown, or can't be reached */
 
@@ -105,6 +107,7 @@
 struct amb_job *amb_job_find(struct amb_node *n, const char *ref);
 bool amb_jobs_request(struct amb_node *n, struct amb_http_req *req); /* false: not a path of the user API */
 void amb_job_key(char *out, size_t cap, const char *ref);
+void amb_job_cancel_hint(struct amb_node *n, const char *ref, int64_t wall); /* a peer says so: final */
 void amb_jobs_apply(struct amb_node *n, const char *ref, const cbor_item_t *value, uint64_t stamp);
 void amb_job_value(struct amb_buf *b, const struct amb_job *j, enum amb_job_state state);
 bool amb_job_allows_type(struct amb_node *n, struct amb_job *j, int type);
@@ -203,7 +206,8 @@
 struct amb_peer {
     char member[AMB_NAME], addr[AMB_NAME];
     amb_ms heard_at, confirmed_at; /* any word; word that it does not lead and knows no higher term */
-    uint64_t term;
+    uint64_t term, born;           /* born: tells its incarnations apart */
+    amb_ms born_at;                /* when this one was first heard */
     bool leading, store_ok, knocked, busy;
     amb_ms sent_at;
     struct amb_node *node;
@@ -212,6 +216,7 @@
 struct json_t;
 
 struct amb_peers {
+    uint64_t born;
     struct json_t *images; /* by machine, as the leader last said: what its cache is thought to hold */
     uint32_t beats;
     uint32_t count;
@@ -222,7 +227,8 @@
 void amb_peer_init(struct amb_node *n);
 /* Do workers come to another node, or can no other node be reached at all? */
 bool amb_peer_better_placed(const struct amb_node *n, amb_ms now);
-amb_ms amb_peer_confirmed(const struct amb_node *n); /* since when all peers last confirmed our lead */
+amb_ms amb_peer_confirmed(const struct amb_node *n,
+                          amb_ms now); /* since when all peers last confirmed our lead */
 void amb_peer_recall_images(struct amb_node *n, struct amb_machine *m); /* for a machine new to this node */
 bool amb_peer_store_ok(const struct amb_node *n, amb_ms now);
 
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -805,7 +805,7 @@
 
 static void load_page(void *arg, int status, const cbor_item_t *body) {
     struct amb_node *n = arg;
-    if (!amb_leads(n) || !n->ctl.loading || n->ctl.load_term != n->election.term) return;
+    if (!amb_holds_lead(n) || !n->ctl.loading || n->ctl.load_term != n->election.term) return;
     n->ctl.load_busy = false;
     const cbor_item_t *pairs = amb_cbor_get(body, "pairs");
     if (status != 200 || !pairs) return; /* the tick tries again */
@@ -837,7 +837,7 @@
 static void load_synced(void *arg, bool ok) {
     struct amb_node *n = arg;
     n->ctl.load_busy = false;
-    if (!amb_leads(n) || !n->ctl.loading || n->ctl.load_synced || !ok) return;
+    if (!amb_holds_lead(n) || !n->ctl.loading || n->ctl.load_synced || !ok) return;
     n->ctl.load_synced = true;
     load_next(n);
 }
--- a/lib/election.c
+++ b/lib/election.c
@@ -25,6 +25,10 @@
     return n->election.role == AMB_ROLE_LEADING || n->election.role == AMB_ROLE_UNSURE;
 }
 
+bool amb_holds_lead(const struct amb_node *n) {
+    return n->election.role >= AMB_ROLE_LEADING;
+}
+
 static amb_ms sure_until(const struct amb_election *e) {
     /* Counted from when the renewal was sent; less a tenth for drift and for work already under way. */
     return e->renewed_at + e->ttl - e->ttl / 10;
@@ -151,6 +155,24 @@
     amb_store_grant(&n->store, e->ttl, granted, n);
 }
 
+/* Leading, unsure or mute? */
+static void weigh(struct amb_node *n, amb_ms now) {
+    struct amb_election *e = &n->election;
+    /* Another node may have promised that a cancelled task is gone within cancel_s, and a worker keeps a task
+     * for lease_s after our last answer. So when neither news nor word from every peer comes (which would
+     * tell of the cancellation, or of another leader), we stop in time for that. */
+    amb_ms own = e->renewed_at < n->jobs.fresh_sent_at ? e->renewed_at : n->jobs.fresh_sent_at;
+    amb_ms word = amb_peer_confirmed(n, now);
+    amb_ms hold = (amb_ms)((n->set.cancel_s - n->set.lease_s) * 1000 * 0.8);
+    if (hold < e->ttl) hold = e->ttl;
+    if (now - (word > own ? word : own) > hold)
+        set_role(n, AMB_ROLE_MUTE, "neither news nor the peers' word that we still lead");
+    else if (now >= sure_until(e))
+        set_role(n, AMB_ROLE_UNSURE, "the lease could not be renewed in time");
+    else
+        set_role(n, AMB_ROLE_LEADING, "the lease is renewed");
+}
+
 static void renewed(void *arg, int status, const cbor_item_t *body) {
     struct amb_node *n = arg;
     struct amb_election *e = &n->election;
@@ -160,7 +182,7 @@
     if (e->role < AMB_ROLE_LEADING) return;
     if (status == 200) {
         e->renewed_at = e->renew_sent_at;
-        set_role(n, AMB_ROLE_LEADING, "the lease is renewed");
+        weigh(n, amb_now());
     } else if (status == 404) {
         resign(n, "the lease has run out");
     }
@@ -192,7 +214,8 @@
         resign(n, "the claim can't be checked");
     }
     if (e->role < AMB_ROLE_LEADING) return;
-    if (cut_off(n, now)) {
+    /* Only while the lease is sure: in an outage nobody else could be elected. */
+    if (e->role == AMB_ROLE_LEADING && cut_off(n, now)) {
         e->shun_until = now + (amb_ms)(n->set.lease_s * 1000);
         e->vacant_since = now;
         e->holder[0] = 0;
@@ -204,21 +227,7 @@
         e->renew_sent_at = now;
         amb_store_extend(&n->store, e->lease, renewed, n);
     }
-    if (now < sure_until(e)) return;
-    if (e->role == AMB_ROLE_LEADING) {
-        e->unsure_at = now;
-        set_role(n, AMB_ROLE_UNSURE, "the lease could not be renewed in time");
-    }
-    /* Another node may lead, and may promise that a cancelled task is gone within cancel_s. Workers keep a
-     * task for lease_s after our last answer, so without word from every peer we stop in time for that. */
-    amb_ms word = amb_peer_confirmed(n);
-    amb_ms last = word > e->renewed_at ? word : e->renewed_at;
-    amb_ms hold = (amb_ms)((n->set.cancel_s - n->set.lease_s) * 1000 * 0.8);
-    if (hold < e->ttl) hold = e->ttl;
-    if (e->role == AMB_ROLE_UNSURE && now - last > hold)
-        set_role(n, AMB_ROLE_MUTE, "nobody confirms that we still lead");
-    else if (e->role == AMB_ROLE_MUTE && now - last <= hold)
-        set_role(n, AMB_ROLE_UNSURE, "the peers confirm that nobody else leads");
+    weigh(n, now);
 }
 
 static void tick(void *arg) {
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -259,6 +259,14 @@
         amb_task_unbind(n, t, "told to stop, and not there");
         return;
     }
+    if (t->foreign) {
+        /* An earlier leader may have known it gone and given its room away: records are not written for every
+         * exit. So it is placed anew, under the limits as they are. */
+        t->lost = j->spec->kind == AMB_SERVICE;
+        amb_task_unbind(n, t, "placed by an earlier leader, and not there");
+        if (j->spec->kind == AMB_GANG && j->nbound) amb_gang_tear(n, j, "a task is not there");
+        return;
+    }
     if (t->sent && ++t->misses >= MISSES_MAX) {
         /* Its reports arrive, but it does not act on answers. */
         suspect(n, m, n->set.lease_s, "it does not act on orders");
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -107,13 +107,22 @@
         }
     }
     job_state(n, j, to);
-    if (amb_leads(n) && n->ctl.loaded_at && fresh && to == AMB_JOB_QUEUED) {
+    if (amb_holds_lead(n) && n->ctl.loaded_at && fresh && to == AMB_JOB_QUEUED) {
         amb_job_take(n, j);
         if (j->spec) amb_controller_demand(n, j->spec);
         amb_controller_wake(n);
     }
 }
 
+/* A cancellation that another node has committed and that news can't tell us of. The stamp stays what it was:
+ * no write of ours under it can succeed, and the news, when it comes, is newer. */
+void amb_job_cancel_hint(struct amb_node *n, const char *ref, int64_t wall) {
+    struct amb_job *j = amb_job_find(n, ref);
+    if (!j || j->state != AMB_JOB_QUEUED) return;
+    j->cancelled_wall = wall;
+    job_state(n, j, AMB_JOB_CANCELLED);
+}
+
 static void apply_item(struct amb_node *n, const char *key, const cbor_item_t *value, uint64_t stamp) {
     if (!strcmp(key, LEADER_KEY))
         amb_election_key(n, value, stamp);
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -17,10 +17,16 @@
     return false;
 }
 
-amb_ms amb_peer_confirmed(const struct amb_node *n) {
-    amb_ms oldest = amb_now();
-    for (uint32_t i = 0; i < n->peers.count; i++)
-        if (n->peers.list[i].confirmed_at < oldest) oldest = n->peers.list[i].confirmed_at;
+amb_ms amb_peer_confirmed(const struct amb_node *n, amb_ms now) {
+    amb_ms oldest = now;
+    for (uint32_t i = 0; i < n->peers.count; i++) {
+        const struct amb_peer *p = &n->peers.list[i];
+        if (p->confirmed_at < oldest) oldest = p->confirmed_at;
+        /* An earlier self of the peer may have told a user of a cancellation that nobody here has heard of.
+         */
+        if (p->born_at > n->jobs.fresh_sent_at && n->jobs.fresh_sent_at < oldest)
+            oldest = n->jobs.fresh_sent_at;
+    }
     return oldest;
 }
 
@@ -39,29 +45,57 @@
     return n->peers.count && !heard;
 }
 
+/* What this node knows to be cancelled since a while: a leader that has lost the state service, but not its
+ * peers, must keep what users were told. */
+static json_t *cancellations(const struct amb_node *n) {
+    int64_t since = amb_wall_ms() - (int64_t)(n->set.cancel_s * 2000);
+    json_t *list = json_array();
+    for (const struct amb_job *j = n->jobs.all; j; j = j->hh.next)
+        if (j->state == AMB_JOB_CANCELLED && j->cancelled_wall > since)
+            json_array_append_new(list, json_pack("[s,I]", j->ref, (json_int_t)j->cancelled_wall));
+    return list;
+}
+
+static void learn_cancellations(struct amb_node *n, const json_t *list) {
+    size_t i;
+    json_t *row;
+    json_array_foreach(list, i, row) {
+        const char *ref;
+        json_int_t wall;
+        if (!json_unpack(row, "[s,I]", &ref, &wall)) amb_job_cancel_hint(n, ref, wall);
+    }
+}
+
 static json_t *describe(struct amb_node *n) {
     amb_ms now = amb_now();
-    return json_pack("{s:s, s:I, s:b, s:b, s:b}", "from", n->set.member, "term",
-                     (json_int_t)(amb_leads(n) ? n->election.term : n->election.highest), "leading",
-                     amb_leads(n), "store", own_store_ok(n, now), "knocked",
-                     now - n->fleet.knocked_at < patience(n));
+    json_t *j = json_pack(
+        "{s:s, s:I, s:I, s:b, s:b, s:b}", "from", n->set.member, "born", (json_int_t)n->peers.born, "term",
+        (json_int_t)(amb_leads(n) ? n->election.term : n->election.highest), "leading", amb_leads(n), "store",
+        own_store_ok(n, now), "knocked", now - n->fleet.knocked_at < patience(n));
+    json_object_set_new(j, "cancelled", cancellations(n));
+    return j;
 }
 
 /* What another node says of itself; sent_at: when we asked, 0 when it spoke first. */
 static void heard(struct amb_node *n, struct amb_peer *p, const json_t *j, amb_ms sent_at) {
-    json_int_t term = 0;
+    json_int_t term = 0, born = 0;
     int leading = 0, store = 0, knocked = 0;
-    if (json_unpack((json_t *)j, "{s:I, s:b, s:b, s:b}", "term", &term, "leading", &leading, "store", &store,
-                    "knocked", &knocked) ||
+    if (json_unpack((json_t *)j, "{s:I, s:I, s:b, s:b, s:b}", "born", &born, "term", &term, "leading",
+                    &leading, "store", &store, "knocked", &knocked) ||
         term < 0)
         return;
     p->heard_at = amb_now();
+    if (p->born != (uint64_t)born) {
+        p->born = (uint64_t)born;
+        p->born_at = p->heard_at;
+    }
+    learn_cancellations(n, json_object_get(j, "cancelled"));
     p->term = (uint64_t)term;
     p->leading = leading;
     p->store_ok = store;
     p->knocked = knocked;
     /* Only an answer to our own question can confirm: a message that came late is as old as it is. */
-    if (sent_at && amb_leads(n) && !leading && p->term <= n->election.term) p->confirmed_at = sent_at;
+    if (sent_at && amb_holds_lead(n) && !leading && p->term <= n->election.term) p->confirmed_at = sent_at;
     amb_election_saw_term(n, p->term, p->member);
 }
 
@@ -192,6 +226,7 @@
 
 void amb_peer_init(struct amb_node *n) {
     n->peers.count = n->set.npeers;
+    n->peers.born = amb_nonce() >> 12;
     for (uint32_t i = 0; i < n->peers.count; i++) {
         struct amb_peer *p = &n->peers.list[i];
         strcpy(p->member, n->set.peers[i].member);
--- a/lib/rental.c
+++ b/lib/rental.c
@@ -32,7 +32,7 @@
 
 /* Is the answer still for this node's term? */
 static bool current(const struct cloud_call *c) {
-    return amb_leads(c->node) && c->node->election.term == c->term;
+    return amb_holds_lead(c->node) && c->node->election.term == c->term;
 }
 
 static bool take_token(struct amb_node *n, amb_ms now) {
