--- a/lib/controller.c
+++ b/lib/controller.c
@@ -135,7 +135,7 @@
 
 /* May it still wait for room that frees itself, and be done in time? Batch work ends all the time, while a
  * rented machine is paid for while it boots. */
-static bool in_time(const struct amb_node *n, const struct amb_job *j, double age) {
+static bool can_wait(const struct amb_node *n, const struct amb_job *j) {
     const struct amb_spec *s = j->spec;
     if (s->kind != AMB_ARRAY || s->priority >= AMB_HIGH || wait_objective(n, s)) return false;
     double target = s->deadline_s, lead = 0;
@@ -149,14 +149,11 @@
         if (!(j->type_mask >> t & 1)) continue;
         lead = fmax(lead, type->boot_s + (type->fetch_gb_s > 0 ? s->image_gb / type->fetch_gb_s : 0));
     }
+    double age = (double)(amb_wall_ms() - j->accepted_wall) / 1000;
     /* Estimates are often wrong by half. */
     return age + lead + s->estimate_s * 1.5 < target;
 }
 
-static bool can_wait(const struct amb_node *n, const struct amb_job *j) {
-    return in_time(n, j, (double)(amb_wall_ms() - j->accepted_wall) / 1000);
-}
-
 static void wish_of(struct round *r, struct amb_job *j, struct amb_wish *w) {
     memset(w, 0, sizeof *w);
     amb_job_allows_type(r->n, j, 0);
@@ -626,12 +623,9 @@
     struct amb_controller *c = &n->ctl;
     struct amb_res now = {0, 0, 0};
     double boot = 0;
-    /* Batch work that has time need not find the fleet as large as its last burst left it. */
-    for (const struct amb_job *j = n->jobs.live; j; j = j->next_live) {
-        if (j->state != AMB_JOB_QUEUED || in_time(n, j, 0)) continue;
-        amb_res_add(&now, &j->spec->each, j->nbound);
-        bool waits = wants_start(r, j) && amb_wdrr_within_limit(j->team, &j->spec->each, 1);
-        if (waits) amb_res_add(&now, &j->spec->each, amb_job_waiting(j));
+    for (uint32_t i = 0; i < n->set.nteams; i++) {
+        amb_res_add(&now, &n->set.teams[i].used, 1);
+        amb_res_add(&now, &p->extra[i], 1); /* what waits and may start */
     }
     for (uint32_t t = 0; t < n->catalog.ntypes; t++) boot = fmax(boot, n->catalog.types[t].boot_s);
     double keep = c->peak_at ? exp(-(double)(r->now - c->peak_at) / 1000 / (1.5 * boot + 1)) : 0;
