--- a/lib/controller.c
+++ b/lib/controller.c
@@ -531,8 +531,7 @@
             mask |= 1u << t;
             boot = fmax(boot, n->catalog.types[t].boot_s);
         }
-        /* The longer nothing comes, measured by how often something did, the less is expected. */
-        double age = (double)(r->now - d->at) / 1000, fade = exp(-age * d->rate / 2);
+        double age = (double)(r->now - d->at) / 1000, fade = exp(-age / (4 * boot));
         /* Arrivals come and tasks end about as often: what is left to cover is their spread. */
         double count = n->opt.headroom * sqrt(d->rate * fade * boot * d->size2);
         struct amb_wish w = {.need = d->last.each, .type_mask = mask, .zone = -1, .zone_used = none};
