--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -1,5 +1,7 @@
 #include "amberpin/log.h"
 #include "amberpin/node.h"
+#include "amberpin/place.h"
+#include "amberpin/wdrr.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -242,6 +244,18 @@
     order(a, AMB_OP_CLEAR, s->ref, s->index, s->attempt, 0);
 }
 
+/* An earlier leader may have known the task gone and given its room away: records are not written for every
+ * exit. It may start where the record says only if the limits hold with all that is not proven absent. */
+static bool still_fits(const struct amb_node *n, const struct amb_task *t) {
+    const struct amb_job *j = t->job;
+    const struct amb_machine *m = t->machine;
+    if (j->spec->kind == AMB_GANG || m->type < 0 || m->zone < 0) return false;
+    if (!amb_wdrr_within_limit(j->team, &j->spec->each, 0)) return false;
+    if (!amb_res_fits(&m->used, &n->catalog.types[m->type].size)) return false;
+    if (j->spec->spread && j->zone_used[m->zone] > amb_place_spread_most(j->spec->tasks)) return false;
+    return !j->spec->one_zone || j->zone_used[m->zone] == j->nbound;
+}
+
 /* A task that a report with our token does not list. */
 static void unlisted(struct amb_node *n, struct amb_machine *m, struct amb_task *t,
                      const struct amb_report *r, struct answer *a) {
@@ -259,11 +273,9 @@
         amb_task_unbind(n, t, "told to stop, and not there");
         return;
     }
-    if (t->foreign) {
-        /* An earlier leader may have known it gone and given its room away: records are not written for every
-         * exit. So it is placed anew, under the limits as they are. */
+    if (t->foreign && !still_fits(n, t)) {
         t->lost = j->spec->kind == AMB_SERVICE;
-        amb_task_unbind(n, t, "placed by an earlier leader, and not there");
+        amb_task_unbind(n, t, "placed by an earlier leader, not there, and its place may be taken");
         if (j->spec->kind == AMB_GANG && j->nbound) amb_gang_tear(n, j, "a task is not there");
         return;
     }
