--- a/lib/record.c
+++ b/lib/record.c
@@ -44,7 +44,9 @@
             amb_buf_fmt(&placed, "%u,%llu,%s,%d,%d,%d;", i, (unsigned long long)t->attempt, t->machine->name,
                         t->machine->type, t->machine->zone, t->machine->spot);
     }
-    amb_w_map(out, 6);
+    amb_w_map(out, 7);
+    amb_w_str(out, "at"); /* its machines were there then */
+    amb_w_uint(out, (uint64_t)amb_wall_ms());
     amb_w_str(out, "w");
     amb_w_str(out, k->write_id);
     amb_w_str(out, "n");
@@ -395,6 +397,9 @@
     uint32_t from, to;
     span(n, k, &from, &to);
     const cbor_item_t *d = amb_cbor_get(value, "d"), *pl = amb_cbor_get(value, "p");
+    uint64_t at_wall = 0;
+    int64_t age = 0;
+    if (amb_cbor_uint(amb_cbor_get(value, "at"), &at_wall)) age = amb_wall_ms() - (int64_t)at_wall;
     size_t cap = (size_t)(n->set.value_kb * 1024) + 1;
     char *text = amb_alloc(cap), *at, *end;
     if (amb_cbor_str(d, text, cap))
@@ -424,6 +429,9 @@
             if (!m) continue;
             if (m->type < 0) m->type = mapped(amb_cbor_get(value, "t"), type, n, false);
             if (m->zone < 0) m->zone = mapped(amb_cbor_get(value, "z"), zone, n, true);
+            /* A list asked for long after that must name the machine: else it is gone, and need not be waited
+             * for as if it had been met just now. */
+            if (age > 0 && amb_now() - age < m->first_at) m->first_at = amb_now() - age;
             m->spot = spot;
             if (!j->tasks[i].machine) {
                 amb_task_bind(n, &j->tasks[i], m, attempt, AMB_TASK_BOUND);
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -373,8 +373,12 @@
     cbor_item_t *item = amb_cbor_parse(b.data, b.len);
     amb_job_leave(node, j);
     amb_fleet_clear(node);
+    cbor_item_t *at = (cbor_item_t *)amb_cbor_get(item, "at");
+    cbor_set_uint64(at, (uint64_t)amb_wall_ms() - 30000); /* as if written half a minute ago */
     amb_record_load(node, "b/p/wk-1/00000", item, 77);
     cbor_decref(&item);
+    amb_ms known = amb_now() - amb_machine_get(node, "m-000000", false)->first_at;
+    assert_true(known >= 30000 && known < 60000);
     amb_buf_free(&b);
     assert_true(j->live);
     assert_int_equal(j->blocks[0].stamp, 77);
