--- a/lib/controller.c
+++ b/lib/controller.c
@@ -395,7 +395,7 @@
 
 struct plan {
     struct round *r;
-    uint32_t rent[AMB_TYPES][AMB_ZONES][2], rented, gang_claims;
+    uint32_t rent[AMB_TYPES][AMB_ZONES][2], rented;
     struct amb_res extra[AMB_TEAMS]; /* planned for each team on top of what it uses */
 };
 
@@ -476,21 +476,6 @@
     r->n->ctl.undo[r->n->ctl.nundo++] = s->zone;
 }
 
-/* Gangs end all the time, and leave whole machines: when enough of them are expected to end while a machine
- * would boot, none is rented for one that has just begun to wait. */
-static bool gang_turns_over(struct plan *p, const struct amb_job *j) {
-    const struct amb_node *n = p->r->n;
-    double ends = 0, boot = 0; /* tasks a second */
-    for (const struct amb_job *o = n->jobs.live; o; o = o->next_live)
-        if (o->spec->kind == AMB_GANG && o->gang == AMB_GANG_RUNNING && amb_res_fits(&j->spec->each, &o->spec->each))
-            ends += o->spec->tasks / fmax(o->spec->estimate_s, n->set.report_s);
-    for (uint32_t t = 0; t < n->catalog.ntypes; t++)
-        if (j->type_mask >> t & 1) boot = fmax(boot, n->catalog.types[t].boot_s);
-    p->gang_claims += j->spec->tasks;
-    double age = (double)(amb_wall_ms() - j->accepted_wall) / 1000;
-    return age < boot && p->gang_claims <= ends * boot;
-}
-
 static void plan_job(struct plan *p, struct amb_job *j) {
     struct round *r = p->r;
     struct amb_controller *ctl = &r->n->ctl;
@@ -512,7 +497,6 @@
             }
             return;
         }
-        if (gang_turns_over(p, j)) return;
         /* In one zone: all of it goes where the first machine can be had. */
         for (uint32_t i = 0; i < j->spec->tasks && !done; i++) {
             plan_task(p, j, &w, j->spec->tasks, false, &done);
@@ -527,19 +511,12 @@
     while (ctl->nundo) j->zone_used[ctl->undo[--ctl->nundo]]--;
 }
 
-/* A machine that a gang leaves goes to the next gang, before batch work that can wait: -1 if none is on it. */
-static int gang_on(const struct amb_machine *m) {
-    for (const struct amb_task *t = m->tasks; t; t = t->next)
-        if (t->job->spec->kind == AMB_GANG) return (int)t->job->spec->priority;
-    return -1;
-}
-
 /* Free room kept for what a class of urgent jobs is expected to ask for while a machine would boot. */
 static void plan_headroom(struct plan *p) {
     struct round *r = p->r;
     struct amb_node *n = r->n;
     for (uint32_t i = 0; i < r->nslots; i++)
-        if (r->slots[i].machine) r->slots[i].machine->kept_for = gang_on(r->slots[i].machine);
+        if (r->slots[i].machine) r->slots[i].machine->kept_for = -1;
     uint32_t none[AMB_ZONES] = {0};
     for (uint32_t i = 0; i < n->ctl.ndemands; i++) {
         struct amb_demand *d = &n->ctl.demands[i];
