--- a/lib/controller.c
+++ b/lib/controller.c
@@ -352,6 +352,15 @@
     return false;
 }
 
+/* How long room that was asked for may take to come: what is told to stop may save first. */
+static amb_ms room_takes(const struct round *r) {
+    double save = 0;
+    for (uint32_t i = 0; i < r->nslots; i++)
+        for (struct amb_task *t = r->slots[i].machine ? r->slots[i].machine->tasks : NULL; t; t = t->next)
+            if (t->halting && r->slots[i].has_image) save = fmax(save, t->grace_s);
+    return secs(save + r->n->set.report_s * 4);
+}
+
 static enum amb_wdrr_try admit(void *arg, uint32_t team, const struct amb_wdrr_item *item) {
     struct round *r = arg;
     struct amb_job *j = item->what;
@@ -367,8 +376,7 @@
      * machine that holds it. */
     if (!r->slots[at].has_image && fetch_too_long(r, j, &r->slots[at])) {
         if (!j->image_since) j->image_since = r->now;
-        if (r->now - j->image_since < secs(r->n->set.report_s * 4) &&
-            (promised(r, &w) || make_room(r, j, &w, true)))
+        if (r->now - j->image_since < room_takes(r) && (promised(r, &w) || make_room(r, j, &w, true)))
             return AMB_TRY_NO_FIT;
     }
     j->image_since = 0;
