--- a/lib/controller.c
+++ b/lib/controller.c
@@ -519,21 +519,6 @@
     while (ctl->nundo) j->zone_used[ctl->undo[--ctl->nundo]]--;
 }
 
-static bool starts_in_time(const struct amb_slot *s) {
-    return s->has_image || s->late < 0.8;
-}
-
-/* Types on which a task of the class starts in time although its image has to be fetched. */
-static uint32_t fast_types(const struct round *r, const struct amb_spec *spec, uint32_t mask) {
-    const struct amb_objective *o = wait_objective(r->n, spec);
-    uint32_t fast = 0;
-    for (uint32_t t = 0; o && t < r->n->catalog.ntypes; t++) {
-        double rate = r->n->catalog.types[t].fetch_gb_s;
-        if ((mask >> t & 1) && rate > 0 && spec->image_gb / rate < o->within_s * 0.8) fast |= 1u << t;
-    }
-    return fast;
-}
-
 /* Free room kept for what a class of urgent jobs is expected to ask for while a machine would boot. */
 static void plan_headroom(struct plan *p) {
     struct round *r = p->r;
@@ -564,23 +549,16 @@
             int at = amb_place_pick(&w, r->slots, r->nslots, true);
             struct amb_slot *s = at >= 0 ? &r->slots[at] : NULL;
             /* Work that would make way for it is as good as free room. */
-            for (uint32_t q = 0; (!s || !starts_in_time(s)) && q < r->nslots; q++) {
+            for (uint32_t q = 0; (!s || !s->has_image) && q < r->nslots; q++) {
                 struct amb_slot *c = &r->slots[q];
-                if (!c->machine || c->spot || !amb_place_allowed(&w, c) || (s && !starts_in_time(c))) continue;
+                if (!c->machine || c->spot || !amb_place_allowed(&w, c) || (s && !c->has_image)) continue;
                 struct amb_res room = c->room;
                 amb_res_add(&room, &c->soon, 1);
                 for (struct amb_task *t = c->machine->tasks; t; t = t->next)
                     if (preemptible(t, d->last.priority)) amb_res_add(&room, &t->job->spec->each, 1);
                 if (amb_res_fits(&w.need, &room)) s = c;
             }
-            /* Room where the start would be late all the same is worth little if a type that fetches faster
-             * can be had. */
-            if (!s || !starts_in_time(s)) {
-                struct amb_wish fast = w;
-                fast.type_mask = s ? fast_types(r, &d->last, mask) : mask;
-                struct amb_slot *rented = fast.type_mask ? rent_for(p, &fast, (uint32_t)ceil(count) - k, false) : NULL;
-                if (rented) s = rented;
-            }
+            if (!s) s = rent_for(p, &w, (uint32_t)ceil(count) - k, false);
             if (!s) break;
             amb_res_add(&s->room, &w.need, -1);
             s->planned++;
