--- a/lib/place.c
+++ b/lib/place.c
@@ -65,8 +65,6 @@
         if (kept_from(w, s)) score -= 2;
         /* Tasks that last keep together: a machine with one of them can't be returned, and a machine with
          * none can as soon as its batch work ends. */
-        /* Batch work fills up machines that stay anyway, so that those with nothing else can be returned. */
-        if (w->patient && s->lasting > 0) score += 0.7;
         if (s->size_gpus > 0 && w->lasting) score += 1.5 * s->lasting / s->size_gpus;
         if (score > best_score) {
             best_score = score;
