--- a/lib/controller.c
+++ b/lib/controller.c
@@ -290,14 +290,37 @@
     return fits;
 }
 
-/* Room that work of lower priority would leave, had it to go. */
-static bool preemptible(const struct amb_task *t, enum amb_priority p) {
+/* On what grounds a job may have other work stopped. */
+struct claim {
+    enum amb_priority priority;
+    const struct amb_team *team;
+    bool guaranteed; /* it fits in what its team is guaranteed */
+};
+
+static struct claim claim_of(const struct amb_spec *s, const struct amb_team *team) {
+    struct amb_res need = {0, 0, 0};
+    amb_res_add(&need, &s->each, s->kind == AMB_GANG ? s->tasks : 1);
+    bool guaranteed = s->kind != AMB_ARRAY && team && amb_wdrr_within_guarantee(team, &need);
+    return (struct claim){s->priority, team, guaranteed};
+}
+
+static bool beyond_guarantee(const struct amb_team *t) {
+    return t->guarantee.gpus > 0 ? t->used.gpus > t->guarantee.gpus : t->used.cpus > t->guarantee.cpus;
+}
+
+/* Batch work makes way for urgent work of higher priority; and, if it loses little by it, what a team runs
+ * beyond its guarantee makes way for what another is guaranteed. */
+static bool makes_way(const struct amb_task *t, const struct claim *c) {
     const struct amb_spec *s = t->job->spec;
-    return s->kind == AMB_ARRAY && s->priority < p && !t->halting && t->state != AMB_TASK_PLACED && !t->done;
+    if (s->kind != AMB_ARRAY || t->halting || t->state == AMB_TASK_PLACED || t->done) return false;
+    if (c->priority >= AMB_HIGH && s->priority < c->priority) return true;
+    return c->guaranteed && s->checkpoint_s > 0 && t->job->team != c->team && beyond_guarantee(t->job->team);
 }
 
-static bool make_room(struct round *r, struct amb_job *j, const struct amb_wish *w, bool image_only) {
-    if (r->n->opt.preempt < 0.5 || j->spec->priority < AMB_HIGH) return false;
+static struct amb_slot *make_room(struct round *r, struct amb_job *j, const struct amb_wish *w,
+                                  bool image_only) {
+    const struct claim claim = claim_of(j->spec, j->team);
+    if (r->n->opt.preempt < 0.5 || (j->spec->priority < AMB_HIGH && !claim.guaranteed)) return NULL;
     int best = -1;
     double least = INFINITY;
     for (uint32_t i = 0; i < r->nslots; i++) {
@@ -308,7 +331,7 @@
         amb_res_add(&room, &s->soon, 1);
         double lost = s->has_image ? 0 : 1000;
         for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&w->need, &room); t = t->next) {
-            if (!preemptible(t, j->spec->priority)) continue;
+            if (!makes_way(t, &claim)) continue;
             amb_res_add(&room, &t->job->spec->each, 1);
             lost += t->running_at ? (double)(r->now - t->running_at) / 1000 : 0;
         }
@@ -317,20 +340,22 @@
             best = (int)i;
         }
     }
-    if (best < 0) return false;
+    if (best < 0) return NULL;
     struct amb_slot *s = &r->slots[best];
     struct amb_res room = s->room;
     amb_res_add(&room, &s->soon, 1);
     for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&w->need, &room); t = t->next) {
-        if (!preemptible(t, j->spec->priority)) continue;
+        if (!makes_way(t, &claim)) continue;
         amb_res_add(&room, &t->job->spec->each, 1);
         amb_res_add(&s->soon, &t->job->spec->each, 1);
         amb_task_halt(r->n, t, t->job->spec->checkpoint_s > 0 ? t->job->spec->save_s : 0,
-                      "room for a job of higher priority");
+                      "room for a job that goes before it");
     }
     amb_res_add(&s->room, &w->need, -1);
     s->planned++;
-    return true;
+    /* Until it has come, no batch work goes there. */
+    if (j->spec->kind == AMB_GANG) s->machine->kept_for = (int)j->spec->priority;
+    return s;
 }
 
 /* Would the fetch alone use up most of the time in which the job's class is to start? */
@@ -458,28 +483,21 @@
 static void plan_task(struct plan *p, struct amb_job *j, struct amb_wish *w, uint32_t most, bool patient,
                       bool *done) {
     struct round *r = p->r;
+    struct amb_slot *s = NULL;
     int at = amb_place_pick(w, r->slots, r->nslots, true);
     *done = false;
-    if (at >= 0) {
-        /* An urgent task takes a place that has to boot only when no running work can make way. */
-        struct amb_slot *s = &r->slots[at];
-        bool up = s->machine && s->machine->state == AMB_MACHINE_UP;
-        if (up || !make_room(r, j, w, false)) {
-            amb_res_add(&s->room, &w->need, -1);
-            s->planned++;
-            j->zone_used[s->zone]++;
-            r->n->ctl.undo[r->n->ctl.nundo++] = s->zone;
-        }
-        return;
-    }
-    if (make_room(r, j, w, false)) return;
-    struct amb_slot *s = patient ? NULL : rent_for(p, w, most, true);
+    /* A place that has to boot is taken only when no running work can make way. */
+    bool up = at >= 0 && r->slots[at].machine && r->slots[at].machine->state == AMB_MACHINE_UP;
+    if (!up) s = make_room(r, j, w, false); /* takes the room itself */
     if (!s) {
-        *done = true;
-        return;
+        s = at >= 0 ? &r->slots[at] : patient ? NULL : rent_for(p, w, most, true);
+        if (!s) {
+            *done = true;
+            return;
+        }
+        amb_res_add(&s->room, &w->need, -1);
+        s->planned++;
     }
-    amb_res_add(&s->room, &w->need, -1);
-    s->planned++;
     j->zone_used[s->zone]++;
     r->n->ctl.undo[r->n->ctl.nundo++] = s->zone;
 }
@@ -500,7 +518,9 @@
         amb_res_add(&p->extra[team], &j->spec->each, j->spec->tasks);
         if (place_gang(r, j, where, true)) {
             for (uint32_t i = 0; i < j->spec->tasks; i++) {
-                r->slots[where[i]].planned++;
+                struct amb_slot *s = &r->slots[where[i]];
+                if (s->machine) s->machine->kept_for = (int)j->spec->priority;
+                s->planned++;
                 j->zone_used[r->slots[where[i]].zone]--;
             }
             return;
@@ -519,12 +539,16 @@
     while (ctl->nundo) j->zone_used[ctl->undo[--ctl->nundo]]--;
 }
 
+static const struct amb_team *team_named(const struct amb_node *n, const char *name) {
+    for (uint32_t i = 0; i < n->set.nteams; i++)
+        if (!strcmp(n->set.teams[i].name, name)) return &n->set.teams[i];
+    return NULL;
+}
+
 /* Free room kept for what a class of urgent jobs is expected to ask for while a machine would boot. */
 static void plan_headroom(struct plan *p) {
     struct round *r = p->r;
     struct amb_node *n = r->n;
-    for (uint32_t i = 0; i < r->nslots; i++)
-        if (r->slots[i].machine) r->slots[i].machine->kept_for = -1;
     uint32_t none[AMB_ZONES] = {0};
     for (uint32_t i = 0; i < n->ctl.ndemands; i++) {
         struct amb_demand *d = &n->ctl.demands[i];
@@ -542,6 +566,7 @@
         double age = (double)(r->now - d->at) / 1000, fade = exp(-age / (4 * boot));
         /* Arrivals come and tasks end about as often: what is left to cover is their spread. */
         double count = n->opt.headroom * sqrt(d->rate * fade * boot * d->size2);
+        const struct claim claim = claim_of(&d->last, team_named(n, d->last.team));
         struct amb_wish w = {.need = d->last.each, .type_mask = mask, .zone = -1, .zone_used = none};
         for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < AMB_PLAN_TASKS; k++) {
             mark_image(r, &d->last,
@@ -555,7 +580,7 @@
                 struct amb_res room = c->room;
                 amb_res_add(&room, &c->soon, 1);
                 for (struct amb_task *t = c->machine->tasks; t; t = t->next)
-                    if (preemptible(t, d->last.priority)) amb_res_add(&room, &t->job->spec->each, 1);
+                    if (makes_way(t, &claim)) amb_res_add(&room, &t->job->spec->each, 1);
                 if (amb_res_fits(&w.need, &room)) s = c;
             }
             if (!s) s = rent_for(p, &w, (uint32_t)ceil(count) - k, false);
@@ -703,6 +728,8 @@
     struct plan *p = amb_alloc(sizeof *p);
     p->r = r;
     look_at_machines(r, true);
+    for (uint32_t i = 0; i < r->nslots; i++)
+        if (r->slots[i].machine) r->slots[i].machine->kept_for = -1;
     for (uint32_t i = 0; i < r->njobs; i++)
         if (wants_start(r, r->jobs[i])) plan_job(p, r->jobs[i]);
     note_demand(p);
