--- a/lib/controller.c
+++ b/lib/controller.c
@@ -362,7 +362,8 @@
 static bool fetch_too_long(const struct round *r, const struct amb_job *j, const struct amb_slot *s) {
     const struct amb_objective *o = wait_objective(r->n, j->spec);
     double rate = r->n->catalog.types[s->type].fetch_gb_s;
-    if (!o || j->spec->priority < AMB_HIGH || rate <= 0) return false;
+    if (!o || rate <= 0 || (j->spec->priority < AMB_HIGH && !claim_of(j->spec, j->team).guaranteed))
+        return false;
     return j->spec->image_gb / rate > o->within_s * 0.7;
 }
 
@@ -391,7 +392,8 @@
     struct amb_job *j = item->what;
     (void)team;
     mark_images(r, j);
-    if (j->spec->kind == AMB_GANG) return admit_gang(r, j) ? AMB_TRY_ADMITTED : AMB_TRY_NO_FIT;
+    if (j->spec->kind == AMB_GANG && j->spec->tasks > 1)
+        return admit_gang(r, j) ? AMB_TRY_ADMITTED : AMB_TRY_NO_FIT;
     struct amb_wish w;
     wish_of(r, j, &w);
     int at = amb_place_pick(&w, r->slots, r->nslots, false);
@@ -405,6 +407,7 @@
             return AMB_TRY_NO_FIT;
     }
     j->image_since = 0;
+    if (j->spec->kind == AMB_GANG) return admit_gang(r, j) ? AMB_TRY_ADMITTED : AMB_TRY_NO_FIT;
     start_task(r, t, &r->slots[at], j->next_attempt++);
     return AMB_TRY_ADMITTED;
 }
