--- a/lib/controller.c
+++ b/lib/controller.c
@@ -444,8 +444,7 @@
 }
 
 /* The cheapest machine per task that could be rented for the wish; most: tasks of this shape that wait. */
-static struct amb_slot *rent_for(struct plan *p, const struct amb_wish *w, uint32_t most, bool spread_even,
-                                 double hurry_gb) {
+static struct amb_slot *rent_for(struct plan *p, const struct amb_wish *w, uint32_t most, bool spread_even) {
     struct round *r = p->r;
     struct amb_node *n = r->n;
     double least = INFINITY;
@@ -461,9 +460,6 @@
                 if (z < 0 || !amb_place_allowed(w, &s) || amb_rental_refused(n, (int)t, z, spot, r->now))
                     continue;
                 double cost = (spot ? type->spot_price : type->price) / fmin(times, most ? most : 1);
-                /* Users wait: half the time is worth twice the money. */
-                if (hurry_gb > 0)
-                    cost *= type->boot_s + (type->fetch_gb_s > 0 ? hurry_gb / type->fetch_gb_s : 0);
                 if (spread_even) cost += 1e-3 * p->rent[t][z][spot];
                 if (cost < least) {
                     least = cost;
@@ -497,7 +493,7 @@
     bool up = at >= 0 && r->slots[at].machine && r->slots[at].machine->state == AMB_MACHINE_UP;
     if (!up) s = make_room(r, j, w, false); /* takes the room itself */
     if (!s) {
-        s = at >= 0 ? &r->slots[at] : patient ? NULL : rent_for(p, w, most, true, w->patient || j->spec->priority < AMB_HIGH ? 0 : j->spec->image_gb);
+        s = at >= 0 ? &r->slots[at] : patient ? NULL : rent_for(p, w, most, true);
         if (!s) {
             *done = true;
             return;
@@ -590,7 +586,7 @@
                     if (makes_way(t, &claim)) amb_res_add(&room, &t->job->spec->each, 1);
                 if (amb_res_fits(&w.need, &room)) s = c;
             }
-            if (!s) s = rent_for(p, &w, (uint32_t)ceil(count) - k, false, 0);
+            if (!s) s = rent_for(p, &w, (uint32_t)ceil(count) - k, false);
             if (!s) break;
             amb_res_add(&s->room, &w.need, -1);
             s->planned++;
