A few bytes can no longer claim all memory: CBOR lengths are held against the input first

libcbor makes room for as many items as a list or map announces before it looks for them: a body of five bytes took 512 MB, and a controller may hold 40. The test fails without the check (the sanitizer refuses the allocation).

--- a/lib/codec.c
+++ b/lib/codec.c
@@ -8,9 +8,39 @@
 
 /* ---- reading ---- */
 
+/* libcbor makes room for as many items as a list or map says it has before it looks for them: a body of five
+ * bytes could take all memory there is. So lengths are held against what is left of the input first. */
+struct scan {
+    size_t left;
+    bool absurd;
+};
+
+static void scan_list(void *ctx, size_t items) {
+    struct scan *s = ctx;
+    if (items > s->left) s->absurd = true;
+}
+
+static void scan_map(void *ctx, size_t pairs) {
+    struct scan *s = ctx;
+    if (pairs > s->left / 2) s->absurd = true;
+}
+
+static bool plausible(const unsigned char *data, size_t len) {
+    struct cbor_callbacks cb = cbor_empty_callbacks;
+    cb.array_start = scan_list;
+    cb.map_start = scan_map;
+    struct scan s = {len, false};
+    while (s.left && !s.absurd) {
+        struct cbor_decoder_result r = cbor_stream_decode(data + (len - s.left), s.left, &cb, &s);
+        if (r.status != CBOR_DECODER_FINISHED || !r.read) return false;
+        s.left -= r.read;
+    }
+    return !s.absurd;
+}
+
 cbor_item_t *amb_cbor_parse(const void *data, size_t len) {
     struct cbor_load_result r;
-    if (!len) return NULL;
+    if (!len || !plausible(data, len)) return NULL;
     cbor_item_t *item = cbor_load(data, len, &r);
     if (!item) return NULL;
     if (r.read != len) {
--- a/tests/test_codec.c
+++ b/tests/test_codec.c
@@ -121,6 +121,24 @@
     }
 }
 
+/* Lists and maps that claim far more than the body holds must not make room for it. The sanitizer refuses a
+ * single allocation of that size, so this fails without the check. */
+static void absurd_lengths_take_no_memory(void **state) {
+    (void)state;
+    static const struct {
+        const char *bytes;
+        size_t len;
+    } rows[] = {
+        {"\x9a\x7f\xff\xff\xff\x00\x00", 7},
+        {"\xba\x7f\xff\xff\xff\x00\x00", 7},
+        {"\xa1\x61\x61\x9b\x00\x00\x00\xff\xff\xff\xff\xff", 12},
+        {"\x7b\x00\x00\x00\xff\xff\xff\xff\xff", 9},
+        {"\x82\x01", 2},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++)
+        if (amb_cbor_parse(rows[i].bytes, rows[i].len)) fail_msg("row %zu", i);
+}
+
 /* A report, cut short and with each byte changed in turn: read or refused, never a crash. */
 static void reports_survive_damage(void **state) {
     (void)state;
@@ -179,11 +197,9 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(job_is_read_and_written_back),
-        cmocka_unit_test(bad_fields_are_refused),
-        cmocka_unit_test(only_nullable_fields_may_be_missing),
-        cmocka_unit_test(not_a_map_is_refused),
-        cmocka_unit_test(reports_survive_damage),
+        cmocka_unit_test(job_is_read_and_written_back),        cmocka_unit_test(bad_fields_are_refused),
+        cmocka_unit_test(only_nullable_fields_may_be_missing), cmocka_unit_test(not_a_map_is_refused),
+        cmocka_unit_test(absurd_lengths_take_no_memory),       cmocka_unit_test(reports_survive_damage),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
