--- a/include/amberpin/settings.h
+++ b/include/amberpin/settings.h
@@ -29,6 +29,7 @@
     double cores, memory_mb, fd_limit, skew_ms;
 };
 
+struct amb_team *amb_settings_team(struct amb_settings *s, const char *name); /* NULL: no such team */
 /* False: err holds one line that names file and field. */
 bool amb_settings_load(const char *path, struct amb_settings *s, char *err, size_t cap);
 
--- a/include/amberpin/util.h
+++ b/include/amberpin/util.h
@@ -13,6 +13,10 @@
     size_t len, cap;
 };
 
+static inline amb_ms amb_secs(double s) {
+    return (amb_ms)(s * 1000);
+}
+
 void *amb_alloc(size_t n); /* zeroed; ends the process when there is no memory */
 void *amb_grow(void *p, size_t n);
 char *amb_dup(const char *s);
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -9,10 +9,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static amb_ms secs(double s) {
-    return (amb_ms)(s * 1000);
-}
-
 /* ---- a round's view of the world ---- */
 
 struct line { /* a team's waiting jobs, in order */
@@ -76,9 +72,9 @@
         }
         /* Counted on while it may still come up in time; after that another is rented in its place. */
         double boot = r->n->catalog.types[m->type].boot_s;
-        bool soon = m->state == AMB_MACHINE_BOOTING && r->now - m->first_at < secs(boot * 2);
+        bool soon = m->state == AMB_MACHINE_BOOTING && r->now - m->first_at < amb_secs(boot * 2);
         bool fresh =
-            m->state == AMB_MACHINE_UNPROVEN && r->now - m->reported_at < secs(r->n->set.report_s * 3);
+            m->state == AMB_MACHINE_UNPROVEN && r->now - m->reported_at < amb_secs(r->n->set.report_s * 3);
         if (soon || fresh) add_machine(r, m, true);
     }
     if (!booting) return;
@@ -384,7 +380,7 @@
     for (uint32_t i = 0; i < r->nslots; i++)
         for (struct amb_task *t = r->slots[i].machine ? r->slots[i].machine->tasks : NULL; t; t = t->next)
             if (t->halting && r->slots[i].has_image) save = fmax(save, t->grace_s);
-    return secs(save + r->n->set.report_s * 4);
+    return amb_secs(save + r->n->set.report_s * 4);
 }
 
 static enum amb_wdrr_try admit(void *arg, uint32_t team, const struct amb_wdrr_item *item) {
@@ -542,12 +538,6 @@
     while (ctl->nundo) j->zone_used[ctl->undo[--ctl->nundo]]--;
 }
 
-static const struct amb_team *team_named(const struct amb_node *n, const char *name) {
-    for (uint32_t i = 0; i < n->set.nteams; i++)
-        if (!strcmp(n->set.teams[i].name, name)) return &n->set.teams[i];
-    return NULL;
-}
-
 /* Free room kept for what a class of urgent jobs is expected to ask for while a machine would boot. */
 static void plan_headroom(struct plan *p) {
     struct round *r = p->r;
@@ -569,7 +559,7 @@
         double age = (double)(r->now - d->at) / 1000, fade = exp(-age / (4 * boot));
         /* Arrivals come and tasks end about as often: what is left to cover is their spread. */
         double count = n->opt.headroom * sqrt(d->rate * fade * boot * d->size2);
-        const struct claim claim = claim_of(&d->last, team_named(n, d->last.team));
+        const struct claim claim = claim_of(&d->last, amb_settings_team(&n->set, d->last.team));
         struct amb_wish w = {.need = d->last.each, .type_mask = mask, .zone = -1, .zone_used = none};
         for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < AMB_PLAN_TASKS; k++) {
             mark_image(r, &d->last,
@@ -604,7 +594,7 @@
         m = s->machine;
         if (!m || s->planned || m->ntasks || m->state != AMB_MACHINE_UP) continue;
         const struct amb_type *t = &n->catalog.types[m->type];
-        amb_ms idle = secs(t->boot_s * n->opt.idle_return);
+        amb_ms idle = amb_secs(t->boot_s * n->opt.idle_return);
         amb_ms lead = r->now - n->ctl.leading_since;
         if (r->now - m->idle_since > idle && lead > idle) amb_rental_release(n, m, "idle");
     }
@@ -619,7 +609,7 @@
     struct amb_job *j = t->job;
     struct amb_wish w;
     if (t->halting || t->state != AMB_TASK_SEEN || !t->running_at || j->state != AMB_JOB_QUEUED) return false;
-    if (r->now - t->running_at < secs(r->n->set.lease_s * 4)) return false;
+    if (r->now - t->running_at < amb_secs(r->n->set.lease_s * 4)) return false;
     mark_images(r, j);
     wish_of(r, j, &w);
     int zone = t->machine->zone;
@@ -750,7 +740,7 @@
     struct amb_machine *m, *next;
     HASH_ITER(hh, n->fleet.all, m, next) {
         if (m->state != AMB_MACHINE_BOOTING || m->type < 0) continue;
-        if (now - m->first_at > secs(n->catalog.types[m->type].boot_s * 4))
+        if (now - m->first_at > amb_secs(n->catalog.types[m->type].boot_s * 4))
             amb_rental_release(n, m, "it does not come up");
     }
 }
@@ -776,7 +766,7 @@
         amb_debug("round: %u jobs waited, %u tasks or gangs placed, %u machines usable, %g GPUs left",
                   r->njobs, started, r->nslots, room);
     }
-    if (now - c->plan_at >= secs(n->set.report_s / 2)) {
+    if (now - c->plan_at >= amb_secs(n->set.report_s / 2)) {
         c->plan_at = now;
         planning(r);
         drop_dead_boots(n, now);
@@ -790,7 +780,7 @@
     n->ctl.round_wanted = true;
     if (!n->ctl.ready || n->ctl.round_timer.slot) return;
     /* A moment's patience lets news that comes together be handled together. */
-    amb_timer_in(&n->ctl.round_timer, secs(n->set.report_s * 0.05), run_round, n);
+    amb_timer_in(&n->ctl.round_timer, amb_secs(n->set.report_s * 0.05), run_round, n);
 }
 
 void amb_controller_demand(struct amb_node *n, const struct amb_spec *s) {
@@ -930,19 +920,19 @@
     struct amb_node *n = arg;
     struct amb_controller *c = &n->ctl;
     amb_ms now = amb_now();
-    amb_timer_in(&c->timer, secs(n->set.report_s * 0.1), tick, n);
+    amb_timer_in(&c->timer, amb_secs(n->set.report_s * 0.1), tick, n);
     amb_rental_tick(n, now);
     amb_deputy_tick(n, now);
     if (!amb_leads(n)) return;
     if (c->loading) load_tick(n, now);
-    amb_ms learn = secs(n->set.report_s * 1.3);
+    amb_ms learn = amb_secs(n->set.report_s * 1.3);
     if (c->loaded_at && !c->ready && now - c->leading_since > learn && now - c->loaded_at > learn / 2) {
         amb_info("controller: ready to place");
         c->ready = true;
         amb_controller_wake(n);
     }
     amb_fleet_tick(n, now);
-    if (c->ready && (c->round_wanted || now - c->round_at > secs(n->set.report_s * 0.5)))
+    if (c->ready && (c->round_wanted || now - c->round_at > amb_secs(n->set.report_s * 0.5)))
         amb_controller_wake(n);
     amb_record_pump(n);
 }
@@ -960,7 +950,8 @@
     if (!n->jobs.loaded) return false;
     /* The store refuses us alone: users are better served elsewhere. When it refuses everybody, staying in
      * lets them have an answer at once. */
-    bool failing = n->store.failed_at > n->store.ok_at && now - n->store.ok_at > secs(n->set.report_s * 3);
+    bool failing =
+        n->store.failed_at > n->store.ok_at && now - n->store.ok_at > amb_secs(n->set.report_s * 3);
     return !failing || !amb_peer_store_ok(n, now);
 }
 
@@ -983,7 +974,7 @@
     /* A quarter of the sockets is ours, to reach others with; the rest is for those who reach us. */
     int sockets = (int)n->set.fd_limit;
     amb_http_client_limit(sockets / 4);
-    n->front = amb_server_open(n->set.front, sockets * 5 / 8, secs(n->set.lease_s * 6), request, n);
+    n->front = amb_server_open(n->set.front, sockets * 5 / 8, amb_secs(n->set.lease_s * 6), request, n);
     if (!n->front) {
         snprintf(err, cap, "front %s can't be opened", n->set.front);
         return -1;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -9,13 +9,9 @@
 
 enum { ORDERS_MAX = 256, ORDERS_PUSHED = 32, MISSES_MAX = 2 };
 
-static amb_ms secs(double s) {
-    return (amb_ms)(s * 1000);
-}
-
 /* The workers' lease on our clock: wider by the clocks' drift and by a margin for work under way. */
 static amb_ms lease_span(const struct amb_node *n) {
-    return secs(n->set.lease_s * 1.01 + n->set.report_s * 0.25);
+    return amb_secs(n->set.lease_s * 1.01 + n->set.report_s * 0.25);
 }
 
 /* ---- machines ---- */
@@ -109,7 +105,7 @@
 bool amb_machine_usable(const struct amb_node *n, const struct amb_machine *m, amb_ms now) {
     return m->state == AMB_MACHINE_UP && !m->release_wanted && !m->drain && !m->notice_until &&
            now >= m->avoid_until && m->type >= 0 && m->zone >= 0 &&
-           now - m->reported_at < secs(n->set.report_s * 3);
+           now - m->reported_at < amb_secs(n->set.report_s * 3);
 }
 
 /* ---- reports ---- */
@@ -131,7 +127,7 @@
 }
 
 static void suspect(struct amb_node *n, struct amb_machine *m, double seconds, const char *cause) {
-    amb_ms until = amb_now() + secs(seconds);
+    amb_ms until = amb_now() + amb_secs(seconds);
     if (until > m->avoid_until) m->avoid_until = until;
     amb_info("machine %s: no new tasks for %g s: %s", m->name, seconds, cause);
     (void)n;
@@ -148,7 +144,7 @@
     }
     uint32_t shift = j->errors < 6 ? j->errors : 6;
     double pause = j->errors < 3 ? 0 : n->set.report_s * (double)(1u << shift);
-    j->hold_until = amb_now() + secs(pause);
+    j->hold_until = amb_now() + amb_secs(pause);
     if (m->faults >= 3 && !m->good) amb_rental_release(n, m, "tasks keep failing on it");
 }
 
@@ -172,7 +168,7 @@
         if (s->why == AMB_WHY_ERROR) failed(n, t, m);
         if (s->why == AMB_WHY_NO_ROOM || s->why == AMB_WHY_BUSY)
             suspect(n, m, n->set.report_s * 2, "it refused a task");
-        if (s->why == AMB_WHY_UNKNOWN) j->hold_until = amb_now() + secs(n->set.report_s * 2);
+        if (s->why == AMB_WHY_UNKNOWN) j->hold_until = amb_now() + amb_secs(n->set.report_s * 2);
         if (s->why != AMB_WHY_DONE && !stopping) t->lost = true;
     }
     amb_task_unbind(n, t, "it exited");
@@ -213,7 +209,7 @@
     amb_task_running(t, runs);
     if (s->on != AMB_ON_FETCHING) amb_machine_use_image(n, t->machine, j->spec->image, j->spec->image_gb);
     if (j->spec->kind == AMB_GANG) gang_look(j);
-    if (t->running_at && amb_now() - t->running_at > secs(n->set.report_s * 5)) {
+    if (t->running_at && amb_now() - t->running_at > amb_secs(n->set.report_s * 5)) {
         j->errors = 0;
         t->machine->good++;
     }
@@ -298,7 +294,7 @@
 static void notice(struct amb_node *n, struct amb_machine *m, double left_s, amb_ms now) {
     if (!m->notice_until) amb_info("machine %s: the cloud takes it back in %g s", m->name, left_s);
     bool first = !m->notice_until;
-    m->notice_until = now + secs(left_s);
+    m->notice_until = now + amb_secs(left_s);
     if (!first) return;
     for (struct amb_task *t = m->tasks, *next; t; t = next) {
         next = t->next;
@@ -456,7 +452,7 @@
     amb_w_uint(&b, m->session);
     amb_w_str(&b, "orders");
     amb_codec_put_orders(&b, a.orders, a.n);
-    amb_http_call(m->addr, "POST", "/commands", "application/cbor", b.data, b.len, secs(n->set.report_s),
+    amb_http_call(m->addr, "POST", "/commands", "application/cbor", b.data, b.len, amb_secs(n->set.report_s),
                   pushed, NULL);
     amb_buf_free(&b);
 }
@@ -481,21 +477,21 @@
         amb_w_uint(&b, session);
         amb_w_str(&b, "orders");
         amb_w_list(&b, 0);
-        amb_http_call(m->addr, "POST", "/commands", "application/cbor", b.data, b.len, secs(n->set.report_s),
-                      pushed, s);
+        amb_http_call(m->addr, "POST", "/commands", "application/cbor", b.data, b.len,
+                      amb_secs(n->set.report_s), pushed, s);
         amb_buf_free(&b);
     }
     if (item) cbor_decref(&item);
 }
 
 static void seek(struct amb_node *n, struct amb_machine *m, amb_ms now) {
-    if (!m->addr[0] || now - m->seek_at < secs(n->set.report_s * 2)) return;
+    if (!m->addr[0] || now - m->seek_at < amb_secs(n->set.report_s * 2)) return;
     m->seek_at = now;
     struct seek *s = amb_alloc(sizeof *s);
     s->node = n;
     s->term = n->election.term;
     strcpy(s->machine, m->name);
-    amb_http_call(m->addr, "GET", "/inspect", NULL, NULL, 0, secs(n->set.report_s), inspected, s);
+    amb_http_call(m->addr, "GET", "/inspect", NULL, NULL, 0, amb_secs(n->set.report_s), inspected, s);
 }
 
 /* ---- what time alone shows ---- */
@@ -522,7 +518,7 @@
     for (m = n->fleet.all; m; m = m->hh.next) {
         if (m->zone != one->zone || m->state == AMB_MACHINE_BOOTING) continue;
         all++;
-        silent += now - m->reported_at > secs(n->set.report_s * 3);
+        silent += now - m->reported_at > amb_secs(n->set.report_s * 3);
     }
     return silent * 3 > all && silent > 2;
 }
@@ -542,18 +538,19 @@
      * one takes longer to boot and to fetch its images than most cuts last. */
     double patience = most_silent(n, m, now) ? 3 : 1;
     if (m->state == AMB_MACHINE_SILENT && !covered &&
-        now - m->answered_at > secs(n->set.lease_s * n->opt.silent_release * patience))
+        now - m->answered_at > amb_secs(n->set.lease_s * n->opt.silent_release * patience))
         amb_rental_release(n, m, "silent for too long");
-    if (m->state == AMB_MACHINE_UNPROVEN && now - m->reported_at > secs(n->set.report_s * 2) &&
-        since > secs(n->set.report_s * 2)) {
+    if (m->state == AMB_MACHINE_UNPROVEN && now - m->reported_at > amb_secs(n->set.report_s * 2) &&
+        since > amb_secs(n->set.report_s * 2)) {
         seek(n, m, now);
         amb_ms unknown = now - (m->known_at > n->ctl.leading_since ? m->known_at : n->ctl.leading_since);
         /* Its silence proves nothing while it may hold another leader's token. */
-        if (!covered && unknown > secs(n->set.lease_s * (m->ntasks ? 1.5 : 3) * patience) && amb_may_start(n))
+        if (!covered && unknown > amb_secs(n->set.lease_s * (m->ntasks ? 1.5 : 3) * patience) &&
+            amb_may_start(n))
             amb_rental_release(n, m, "it can't be reached");
     }
     /* A machine of ours that reports to another node only. */
-    if (m->state == AMB_MACHINE_UP && now - m->reported_at > secs(n->set.report_s * 4)) seek(n, m, now);
+    if (m->state == AMB_MACHINE_UP && now - m->reported_at > amb_secs(n->set.report_s * 4)) seek(n, m, now);
     for (struct amb_task *t = m->tasks, *next; t; t = next) {
         next = t->next;
         struct amb_job *j = t->job;
@@ -561,7 +558,7 @@
         if (t->halting && t->state == AMB_TASK_BOUND && !t->sent && !t->foreign) {
             amb_task_unbind(n, t, "no order went out");
         } else if (j->state == AMB_JOB_CANCELLED && m->state != AMB_MACHINE_RELEASING &&
-                   amb_wall_ms() - j->cancelled_wall > secs(n->set.cancel_s * 0.6)) {
+                   amb_wall_ms() - j->cancelled_wall > amb_secs(n->set.cancel_s * 0.6)) {
             amb_rental_release(n, m, "a cancelled task can't be proven gone in time");
         }
         if (m->ntasks != before) next = m->tasks;
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -44,12 +44,6 @@
     amb_codec_put_spec(b, j->spec);
 }
 
-static struct amb_team *team_of(struct amb_node *n, const char *name) {
-    for (uint32_t i = 0; i < n->set.nteams; i++)
-        if (!strcmp(n->set.teams[i].name, name)) return &n->set.teams[i];
-    return NULL;
-}
-
 static void job_state(struct amb_node *n, struct amb_job *j, enum amb_job_state to) {
     if (j->state == to) return;
     amb_info("job %s: %s -> %s", j->ref, amb_codec_job_state(j->state, false),
@@ -100,7 +94,7 @@
         struct amb_spec *spec = amb_alloc(sizeof *spec);
         if (amb_codec_spec(amb_cbor_get(value, "d"), spec) == AMB_PARSE_OK) {
             j->spec = spec;
-            j->team = team_of(n, spec->team);
+            j->team = amb_settings_team(&n->set, spec->team);
         } else {
             amb_error("job %s: its record can't be read", ref);
             free(spec);
@@ -398,7 +392,7 @@
 }
 
 enum amb_verdict amb_job_judge(struct amb_node *n, const struct amb_spec *s) {
-    const struct amb_team *team = team_of(n, s->team);
+    const struct amb_team *team = amb_settings_team(&n->set, s->team);
     if (!team) return AMB_VERDICT_NEVER;
     struct amb_team empty = *team;
     memset(&empty.used, 0, sizeof empty.used);
--- a/lib/rental.c
+++ b/lib/rental.c
@@ -9,10 +9,6 @@
 static const char LEADER_KEY[] = "a/leader";
 enum { LIST_PAGE = 500, RENT_MAX = 50, RELEASE_MAX = 100 };
 
-static amb_ms secs(double s) {
-    return (amb_ms)(s * 1000);
-}
-
 /* ---- calls ---- */
 
 struct cloud_call {
@@ -47,7 +43,7 @@
 }
 
 static void note_status(struct amb_node *n, int status) {
-    if (status == 429) n->rental.held_until = amb_now() + secs(1.0 / n->set.cloud_rps);
+    if (status == 429) n->rental.held_until = amb_now() + amb_secs(1.0 / n->set.cloud_rps);
 }
 
 /* ---- the catalogue ---- */
@@ -186,7 +182,7 @@
         }
         struct amb_refusal *ref = &n->rental.refused[c->type][c->zone][c->spot];
         if (got < c->count) {
-            ref->until = now + secs(n->set.lease_s * 1.5);
+            ref->until = now + amb_secs(n->set.lease_s * 1.5);
         } else {
             ref->times = 0;
         }
@@ -196,7 +192,7 @@
     } else if (status == 503 && amb_cbor_eq(amb_cbor_get(item, "error"), "no capacity")) {
         struct amb_refusal *ref = &n->rental.refused[c->type][c->zone][c->spot];
         ref->times++;
-        ref->until = now + secs(n->set.lease_s * (ref->times > 4 ? 4 : ref->times));
+        ref->until = now + amb_secs(n->set.lease_s * (ref->times > 4 ? 4 : ref->times));
         amb_info("charter %s: no capacity", c->id);
         charter_state(c, AMB_CHARTER_REMOVING, "no capacity");
         amb_controller_wake(n);
@@ -204,7 +200,7 @@
         amb_error("charter %s: the cloud calls it malformed", c->id);
         charter_state(c, AMB_CHARTER_REMOVING, "malformed");
     } else { /* no answer, an outage, too many calls: the same name again rents nothing twice */
-        c->retry_at = now + secs(n->set.report_s / 2);
+        c->retry_at = now + amb_secs(n->set.report_s / 2);
     }
     if (item) cbor_decref(&item);
 }
@@ -223,7 +219,7 @@
     amb_w_str(&b, "count");
     amb_w_uint(&b, c->count);
     amb_http_call(n->set.cloud, "POST", "/machines", "application/cbor", b.data, b.len,
-                  secs(n->set.report_s * 2), rented, charter_call(n, c));
+                  amb_secs(n->set.report_s * 2), rented, charter_call(n, c));
     amb_buf_free(&b);
 }
 
@@ -295,7 +291,7 @@
     note_status(n, status);
     r->releasing = false;
     if (status != 200) {
-        r->release_retry_at = amb_now() + secs(n->set.report_s / 4);
+        r->release_retry_at = amb_now() + amb_secs(n->set.report_s / 4);
         return;
     }
     for (uint32_t i = 0; i < r->nrelease; i++) {
@@ -326,7 +322,7 @@
     for (uint32_t i = 0; i < r->nrelease; i++) amb_w_str(&b, r->release_names[i]);
     r->releasing = true;
     amb_http_call(n->set.cloud, "POST", "/machines/release", "application/cbor", b.data, b.len,
-                  secs(n->set.report_s * 2), released, call_new(n));
+                  amb_secs(n->set.report_s * 2), released, call_new(n));
     amb_buf_free(&b);
 }
 
@@ -351,7 +347,7 @@
     if (!m->addr[0]) amb_cbor_str(amb_cbor_get(e, "address"), m->addr, sizeof m->addr);
     if (!known) {
         amb_cbor_bool(amb_cbor_get(e, "driftwood"), &m->spot);
-        if (amb_cbor_num(amb_cbor_get(e, "held_s"), &held)) m->known_at = began - secs(held);
+        if (amb_cbor_num(amb_cbor_get(e, "held_s"), &held)) m->known_at = began - amb_secs(held);
         if (amb_cbor_eq(stance, "booting")) amb_machine_state(m, AMB_MACHINE_BOOTING, "listed");
     }
     /* A list may be old, but a machine that failed once never works again. */
@@ -366,7 +362,7 @@
 static void list_over(struct amb_node *n, amb_ms began) {
     /* Lists lag by up to twice the nominal time: only one asked for long after the machine last gave a sign
      * of life, and after it must have been listed, can prove by silence that it is gone. */
-    amb_ms lag = secs(n->set.list_lag_s * 2.2 + n->set.report_s);
+    amb_ms lag = amb_secs(n->set.list_lag_s * 2.2 + n->set.report_s);
     struct amb_machine *m, *next;
     HASH_ITER(hh, n->fleet.all, m, next) {
         if (m->list_pass == n->rental.list_pass) continue;
@@ -405,7 +401,7 @@
         snprintf(path, sizeof path, "/machines?after=%s&most=%d", r->list_after, LIST_PAGE);
     else
         snprintf(path, sizeof path, "/machines?most=%d", LIST_PAGE);
-    amb_http_call(n->set.cloud, "GET", path, NULL, NULL, 0, secs(n->set.report_s * 3), list_done,
+    amb_http_call(n->set.cloud, "GET", path, NULL, NULL, 0, amb_secs(n->set.report_s * 3), list_done,
                   call_new(n));
 }
 
@@ -422,7 +418,7 @@
         break;
     case AMB_CHARTER_DONE:
         /* Kept until the machines must be listed: until then only this record tells a successor of them. */
-        if (now - c->done_at > secs(n->set.list_lag_s * 2.2))
+        if (now - c->done_at > amb_secs(n->set.list_lag_s * 2.2))
             charter_state(c, AMB_CHARTER_REMOVING, "listed by now");
         break;
     case AMB_CHARTER_REMOVING:
@@ -433,12 +429,12 @@
 
 void amb_rental_tick(struct amb_node *n, amb_ms now) {
     struct amb_rental *r = &n->rental;
-    amb_ms stale = r->catalog_known ? secs(n->set.lease_s * 6) : secs(n->set.report_s / 2);
+    amb_ms stale = r->catalog_known ? amb_secs(n->set.lease_s * 6) : amb_secs(n->set.report_s / 2);
     if ((!r->catalog_known || amb_leads(n)) && (!r->catalog_at || now - r->catalog_at > stale) &&
         take_token(n, now)) {
         r->catalog_at = now;
-        amb_http_call(n->set.cloud, "GET", "/catalog", NULL, NULL, 0, secs(n->set.report_s * 3), catalog_done,
-                      call_new(n));
+        amb_http_call(n->set.cloud, "GET", "/catalog", NULL, NULL, 0, amb_secs(n->set.report_s * 3),
+                      catalog_done, call_new(n));
     }
     if (!amb_leads(n) || !n->ctl.loaded_at) return;
     if (!r->releasing && now >= r->release_retry_at && amb_may_start(n) && pick_releases(n) &&
@@ -449,7 +445,7 @@
         tick_charter(n, c, now);
     }
     amb_ms pace =
-        secs(n->set.list_lag_s * 0.25 > n->set.report_s ? n->set.list_lag_s * 0.25 : n->set.report_s);
+        amb_secs(n->set.list_lag_s * 0.25 > n->set.report_s ? n->set.list_lag_s * 0.25 : n->set.report_s);
     if (!r->listing && now - r->list_at > pace && take_token(n, now)) {
         r->list_at = r->list_began = now;
         r->list_pass++;
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -129,6 +129,12 @@
     }
 }
 
+struct amb_team *amb_settings_team(struct amb_settings *s, const char *name) {
+    for (uint32_t i = 0; i < s->nteams; i++)
+        if (!strcmp(s->teams[i].name, name)) return &s->teams[i];
+    return NULL;
+}
+
 bool amb_settings_load(const char *path, struct amb_settings *s, char *err, size_t cap) {
     memset(s, 0, sizeof *s);
     struct reader r = {.s = s, .file = path, .err = err, .cap = cap};
