--- a/include/amberpin/http.h
+++ b/include/amberpin/http.h
@@ -36,7 +36,6 @@
 
 /* idle_ms: a connection without a request is closed after it; max: connections at most. */
 struct amb_server *amb_server_open(const char *addr, int max, amb_ms idle_ms, amb_http_handler fn, void *arg);
-int amb_server_count(const struct amb_server *s);
 void amb_http_reply(struct amb_http_req *req, int status, const char *type, const void *body, size_t len,
                     int retry_after_s);
 
--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -106,7 +106,6 @@
     bool lost;                  /* was running and is gone: to be replaced first */
     bool sent;                  /* a run order went out */
     bool foreign;               /* placed by an earlier leader, which may have sent one */
-    bool slow;                  /* told to stop because its machine is slow or bad */
     uint8_t misses;             /* reports that should have listed it and did not */
     uint32_t index;
     uint64_t attempt;
@@ -116,7 +115,7 @@
     uint64_t sent_session, sent_seq; /* the report whose answer carried the run order last */
     uint64_t mark;                   /* the report that last listed it */
     amb_ms since;                    /* of the state */
-    amb_ms running_at, halted_at;
+    amb_ms running_at;
     double grace_s;
 };
 
@@ -158,7 +157,6 @@
     uint32_t zone_used[AMB_ZONES];
     uint64_t next_attempt;
     enum amb_gang_state gang;
-    amb_ms gang_since;
     amb_ms hold_until; /* after errors: no new start before */
     uint32_t errors;
     bool finishing;
@@ -180,7 +178,7 @@
     char name[AMB_NAME], addr[AMB_NAME];
     enum amb_machine_state state;
     int type, zone; /* places in the catalog and the zone table; -1: unknown */
-    bool spot, token_shown, listed, release_wanted, release_sent, proven_empty;
+    bool spot, token_shown, listed, release_wanted;
     uint64_t session, seq;
     amb_ms known_at, reported_at, answered_at, listed_at, idle_since, state_at, seek_at, avoid_until;
     amb_ms first_at;     /* when this node first knew it */
--- a/include/amberpin/util.h
+++ b/include/amberpin/util.h
@@ -19,7 +19,6 @@
 
 void *amb_alloc(size_t n); /* zeroed; ends the process when there is no memory */
 void *amb_grow(void *p, size_t n);
-char *amb_dup(const char *s);
 
 void amb_buf_add(struct amb_buf *b, const void *p, size_t n);
 void amb_buf_str(struct amb_buf *b, const char *s);
--- a/lib/http.c
+++ b/lib/http.c
@@ -375,10 +375,6 @@
     return s;
 }
 
-int amb_server_count(const struct amb_server *s) {
-    return s->open;
-}
-
 /* ---- client ---- */
 
 enum call_state { CALL_CONNECTING, CALL_SENDING, CALL_WAITING, CALL_SPARE };
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -603,7 +603,7 @@
     struct amb_job *j = t->job;
     t->machine = m;
     t->attempt = attempt;
-    t->sent = t->halting = t->in_flight = t->slow = t->foreign = false;
+    t->sent = t->halting = t->in_flight = t->foreign = false;
     t->misses = 0;
     t->prev = NULL;
     t->next = m->tasks;
@@ -653,7 +653,6 @@
 void amb_task_halt(struct amb_node *n, struct amb_task *t, double grace_s, const char *cause) {
     if (!t->machine || (t->halting && t->grace_s <= grace_s)) return;
     if (!t->halting) {
-        t->halted_at = amb_now();
         amb_info("task %s/%u on %s: to stop, grace %g s: %s", t->job->ref, t->index, t->machine->name,
                  grace_s, cause);
     }
@@ -668,7 +667,6 @@
     if (j->gang == to) return;
     amb_info("gang %s: %s -> %s: %s", j->ref, names[j->gang], names[to], cause);
     j->gang = to;
-    j->gang_since = amb_now();
 }
 
 /* The attempt has failed: all its tasks must be gone before the next. */
--- a/lib/util.c
+++ b/lib/util.c
@@ -21,10 +21,6 @@
     return checked(realloc(p, n ? n : 1));
 }
 
-char *amb_dup(const char *s) {
-    return checked(strdup(s));
-}
-
 void amb_buf_add(struct amb_buf *b, const void *p, size_t n) {
     if (b->len + n + 1 > b->cap) {
         size_t cap = b->cap ? b->cap : 256;
