One writer for report answers, one sender of direct commands, one test of who is in a gang

Each stood twice with small variations: in the leader's and the deputy's answer, in seeking a machine and in stopping its tasks, and in the stand-in's look at a gang. Behaviour as before.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -361,14 +361,14 @@
     return true;
 }
 
-/* As a deputy: the leader can't be reached from here, but the workers of this zone can be kept alive. */
-static void stand_in(struct amb_node *n, struct amb_http_req *req) {
+static void answer_report(struct amb_http_req *req, uint64_t term, const struct amb_order *orders,
+                          size_t count) {
     struct amb_buf b = {0};
     amb_w_map(&b, 2);
     amb_w_str(&b, "baton");
-    amb_w_uint(&b, n->deputy.term);
+    amb_w_uint(&b, term);
     amb_w_str(&b, "orders");
-    amb_w_list(&b, 0);
+    amb_codec_put_orders(&b, orders, count);
     amb_reply_cbor(req, 200, &b, 0);
 }
 
@@ -406,17 +406,12 @@
     static struct amb_order orders[ORDERS_MAX];
     size_t count = 0;
     if (!amb_leads(n) && amb_deputy_answers(n, &r)) {
-        stand_in(n, req);
+        /* The leader can't be reached from here, but the workers of this zone can be kept alive. */
+        answer_report(req, n->deputy.term, NULL, 0);
     } else if (!amb_leads(n) || !amb_fleet_report(n, &r, amb_now(), orders, ORDERS_MAX, &count)) {
         redirect(n, req);
     } else {
-        struct amb_buf b = {0};
-        amb_w_map(&b, 2);
-        amb_w_str(&b, "baton");
-        amb_w_uint(&b, n->election.term);
-        amb_w_str(&b, "orders");
-        amb_codec_put_orders(&b, orders, count);
-        amb_reply_cbor(req, 200, &b, 0);
+        answer_report(req, n->election.term, orders, count);
     }
     amb_report_free(&r);
     return true;
@@ -435,6 +430,21 @@
     free(arg); /* what counts is the report that the machine sends next */
 }
 
+static void send_commands(struct amb_node *n, const struct amb_machine *m, uint64_t session,
+                          const struct amb_order *orders, size_t count, struct seek *s) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 3);
+    amb_w_str(&b, "baton");
+    amb_w_uint(&b, n->election.term);
+    amb_w_str(&b, "watch");
+    amb_w_uint(&b, session);
+    amb_w_str(&b, "orders");
+    amb_codec_put_orders(&b, orders, count);
+    amb_http_call(m->addr, "POST", "/commands", "application/cbor", b.data, b.len, amb_secs(n->set.report_s),
+                  pushed, s);
+    amb_buf_free(&b);
+}
+
 /* Stops need not wait for a report to answer, and a late one does no harm: it names an attempt that was to
  * stop anyway. (Starts only ever go out in answers.) */
 static void push_halts(struct amb_node *n, struct amb_machine *m) {
@@ -444,17 +454,7 @@
         if (t->halting && t->state == AMB_TASK_SEEN)
             order(&a, AMB_OP_HALT, t->job->ref, t->index, t->attempt, t->grace_s);
     if (!a.n || !m->token_shown || !m->addr[0]) return;
-    struct amb_buf b = {0};
-    amb_w_map(&b, 3);
-    amb_w_str(&b, "baton");
-    amb_w_uint(&b, n->election.term);
-    amb_w_str(&b, "watch");
-    amb_w_uint(&b, m->session);
-    amb_w_str(&b, "orders");
-    amb_codec_put_orders(&b, a.orders, a.n);
-    amb_http_call(m->addr, "POST", "/commands", "application/cbor", b.data, b.len, amb_secs(n->set.report_s),
-                  pushed, NULL);
-    amb_buf_free(&b);
+    send_commands(n, m, m->session, a.orders, a.n, NULL);
 }
 
 static void inspected(void *arg, int status, const char *body, size_t len) {
@@ -469,17 +469,7 @@
     } else {
         /* No orders, only the token: whoever still answers this machine learns from its next report that a
          * newer leader exists, and sends it here. */
-        struct amb_buf b = {0};
-        amb_w_map(&b, 3);
-        amb_w_str(&b, "baton");
-        amb_w_uint(&b, n->election.term);
-        amb_w_str(&b, "watch");
-        amb_w_uint(&b, session);
-        amb_w_str(&b, "orders");
-        amb_w_list(&b, 0);
-        amb_http_call(m->addr, "POST", "/commands", "application/cbor", b.data, b.len,
-                      amb_secs(n->set.report_s), pushed, s);
-        amb_buf_free(&b);
+        send_commands(n, m, session, NULL, 0, s);
     }
     if (item) cbor_decref(&item);
 }
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -731,6 +731,10 @@
     if (why == AMB_WHY_DONE) job_of(t->ref)->done[t->index] = true;
 }
 
+static bool takes_part(const struct sim_job *j, const struct sim_machine *m, const struct sim_task *t) {
+    return !strcmp(t->ref, j->spec.ref) && t->on != AMB_ON_EXITED && !m->dead && m->exists;
+}
+
 static void gang_advance(struct sim_job *j) {
     struct sim_task *found[64] = {0};
     struct sim_machine *at[64] = {0};
@@ -739,17 +743,13 @@
     for (int i = 0; i < nmachines; i++)
         for (uint32_t k = 0; k < machines[i].ntasks; k++) {
             struct sim_task *t = &machines[i].tasks[k];
-            if (strcmp(t->ref, j->spec.ref) || t->on == AMB_ON_EXITED || machines[i].dead ||
-                !machines[i].exists)
-                continue;
+            if (!takes_part(j, &machines[i], t)) continue;
             if (t->attempt > attempt) attempt = t->attempt;
         }
     for (int i = 0; i < nmachines; i++)
         for (uint32_t k = 0; k < machines[i].ntasks; k++) {
             struct sim_task *t = &machines[i].tasks[k];
-            if (strcmp(t->ref, j->spec.ref) || t->on == AMB_ON_EXITED || machines[i].dead ||
-                !machines[i].exists)
-                continue;
+            if (!takes_part(j, &machines[i], t)) continue;
             if (t->attempt != attempt) continue;
             found[t->index] = t;
             at[t->index] = &machines[i];
