--- a/lib/controller.c
+++ b/lib/controller.c
@@ -594,7 +594,8 @@
         /* Arrivals come and tasks end about as often: what is left to cover is their spread. */
         double count = n->opt.headroom * sqrt(d->rate * fade * boot * d->size2);
         const struct claim claim = claim_of(&d->last, amb_settings_team(&n->set, d->last.team));
-        struct amb_wish w = {.need = d->last.each, .type_mask = mask, .zone = -1, .zone_used = none};
+        struct amb_wish w = {
+            .need = d->last.each, .type_mask = mask, .zone = -1, .spot = d->last.spot, .zone_used = none};
         for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < AMB_PLAN_TASKS; k++) {
             mark_image(r, &d->last,
                        d->images[k % d->nimages]); /* a share of the room for each image asked for */
@@ -603,7 +604,7 @@
             /* Work that would make way for it is as good as free room. */
             for (uint32_t q = 0; (!s || !s->has_image) && q < r->nslots; q++) {
                 struct amb_slot *c = &r->slots[q];
-                if (!c->machine || c->spot || !amb_place_allowed(&w, c) || (s && !c->has_image)) continue;
+                if (!c->machine || !amb_place_allowed(&w, c) || (s && !c->has_image)) continue;
                 struct amb_res room = c->room;
                 amb_res_add(&room, &c->soon, 1);
                 for (struct amb_task *t = c->machine->tasks; t; t = t->next)
