--- a/lib/round.c
+++ b/lib/round.c
@@ -149,34 +149,25 @@
     return NULL;
 }
 
-/* When batch work is to be done, counted from its acceptance; 0: nobody said. */
-static double done_within(const struct amb_node *n, const struct amb_spec *s) {
-    double target = s->deadline_s;
-    for (uint32_t i = 0; i < n->set.nobjectives && s->deadline_s <= 0; i++) {
-        const struct amb_objective *o = &n->set.objectives[i];
-        if (strcmp(o->kind, "finished") || strcmp(o->class_name, s->class_name)) continue;
-        if (target <= 0 || o->within_s < target) target = o->within_s;
-    }
-    return target;
-}
-
-static double age_s(const struct amb_job *j) {
-    return (double)(amb_wall_ms() - j->accepted_wall) / 1000;
-}
-
 /* May it still wait for room that frees itself, and be done in time? Batch work ends all the time, while a
  * rented machine is paid for while it boots. */
 bool amb_round_can_wait(const struct amb_node *n, const struct amb_job *j) {
     const struct amb_spec *s = j->spec;
     if (s->kind != AMB_ARRAY || s->priority >= AMB_HIGH || amb_round_wait_objective(n, s)) return false;
-    double lead = 0;
+    double target = s->deadline_s, lead = 0;
+    for (uint32_t i = 0; i < n->set.nobjectives && s->deadline_s <= 0; i++) {
+        const struct amb_objective *o = &n->set.objectives[i];
+        if (strcmp(o->kind, "finished") || strcmp(o->class_name, s->class_name)) continue;
+        if (target <= 0 || o->within_s < target) target = o->within_s;
+    }
     for (uint32_t t = 0; t < n->catalog.ntypes; t++) {
         const struct amb_type *type = &n->catalog.types[t];
         if (!(j->type_mask >> t & 1)) continue;
         lead = fmax(lead, type->boot_s + (type->fetch_gb_s > 0 ? s->image_gb / type->fetch_gb_s : 0));
     }
+    double age = (double)(amb_wall_ms() - j->accepted_wall) / 1000;
     /* Estimates are often wrong by half. */
-    return age_s(j) + lead + s->estimate_s * 1.5 < done_within(n, s);
+    return age + lead + s->estimate_s * 1.5 < target;
 }
 
 void amb_round_wish(struct amb_round *r, struct amb_job *j, struct amb_wish *w) {
@@ -341,78 +332,45 @@
     return c->guaranteed && s->checkpoint_s > 0 && t->job->team != c->team && beyond_guarantee(t->job->team);
 }
 
-/* What stopping a task costs: the work lost, and more of it the surer its job is then late. A job is as late
- * as its last task, so a few jobs that are late anyway, or have long to go, rather than one task of each. */
-static double stop_cost(const struct amb_round *r, const struct amb_task *t) {
-    const struct amb_spec *s = t->job->spec;
-    double lost = t->running_at ? (double)(r->now - t->running_at) / 1000 : 0;
-    double left = done_within(r->n, s) - age_s(t->job);
-    double again = s->estimate_s + r->n->set.lease_s;
-    return (lost + r->n->set.report_s) * (left <= 0 ? 0.5 : 1 + 3 * fmin(1, again / left));
-}
-
-struct victim {
-    struct amb_task *task;
-    double cost;
-};
-
-enum { VICTIMS = 64 };
-
-static int cheapest_first(const void *a, const void *b) {
-    double x = ((const struct victim *)a)->cost, y = ((const struct victim *)b)->cost;
-    return (x > y) - (x < y);
-}
-
-/* The tasks of a machine that would make way, as few as make room for the need, cheapest first; 0: they
- * don't. When room that comes is enough none is needed: *fits says so. */
-static uint32_t choose_victims(struct amb_round *r, const struct amb_slot *s, const struct amb_res *need,
-                               const struct amb_claim *claim, struct victim *v, double *cost, bool *fits) {
-    struct amb_res room = s->room;
-    uint32_t n = 0, used = 0;
-    amb_res_add(&room, &s->soon, 1);
-    *cost = 0;
-    for (struct amb_task *t = s->machine->tasks; t && n < VICTIMS; t = t->next)
-        if (amb_round_makes_way(t, claim)) v[n++] = (struct victim){t, stop_cost(r, t)};
-    qsort(v, n, sizeof *v, cheapest_first);
-    for (; used < n && !amb_res_fits(need, &room); used++) {
-        amb_res_add(&room, &v[used].task->job->spec->each, 1);
-        *cost += v[used].cost;
-    }
-    *fits = amb_res_fits(need, &room);
-    return used;
-}
-
 struct amb_slot *amb_round_make_room(struct amb_round *r, struct amb_job *j, const struct amb_wish *w,
                                      bool image_only) {
     const struct amb_claim claim = amb_round_claim(j->spec, j->team);
     if (r->n->opt.preempt < 0.5 || (j->spec->priority < AMB_HIGH && !claim.guaranteed)) return NULL;
-    struct victim v[VICTIMS];
-    double least = INFINITY, cost;
-    bool fits;
-    struct amb_slot *best = NULL;
+    int best = -1;
+    double least = INFINITY;
     for (uint32_t i = 0; i < r->nslots; i++) {
         struct amb_slot *s = &r->slots[i];
         if (!s->machine || s->machine->state != AMB_MACHINE_UP || !amb_place_allowed(w, s)) continue;
         if (image_only && !s->has_image) continue;
-        choose_victims(r, s, &w->need, &claim, v, &cost, &fits);
-        if (!s->has_image) cost += 10000;
-        if (!fits || cost >= least) continue;
-        least = cost;
-        best = s;
+        struct amb_res room = s->room;
+        amb_res_add(&room, &s->soon, 1);
+        double lost = s->has_image ? 0 : 1000;
+        for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&w->need, &room); t = t->next) {
+            if (!amb_round_makes_way(t, &claim)) continue;
+            amb_res_add(&room, &t->job->spec->each, 1);
+            lost += t->running_at ? (double)(r->now - t->running_at) / 1000 : 0;
+        }
+        if (amb_res_fits(&w->need, &room) && lost < least) {
+            least = lost;
+            best = (int)i;
+        }
     }
-    if (!best) return NULL;
-    uint32_t count = choose_victims(r, best, &w->need, &claim, v, &cost, &fits);
-    for (uint32_t i = 0; i < count; i++) {
-        const struct amb_spec *spec = v[i].task->job->spec;
-        amb_res_add(&best->soon, &spec->each, 1);
-        amb_task_halt(r->n, v[i].task, spec->checkpoint_s > 0 ? spec->save_s : 0,
+    if (best < 0) return NULL;
+    struct amb_slot *s = &r->slots[best];
+    struct amb_res room = s->room;
+    amb_res_add(&room, &s->soon, 1);
+    for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&w->need, &room); t = t->next) {
+        if (!amb_round_makes_way(t, &claim)) continue;
+        amb_res_add(&room, &t->job->spec->each, 1);
+        amb_res_add(&s->soon, &t->job->spec->each, 1);
+        amb_task_halt(r->n, t, t->job->spec->checkpoint_s > 0 ? t->job->spec->save_s : 0,
                       "room for a job that goes before it");
     }
-    amb_res_add(&best->room, &w->need, -1);
-    best->planned++;
+    amb_res_add(&s->room, &w->need, -1);
+    s->planned++;
     /* Until it has come, no batch work goes there. */
-    if (j->spec->kind == AMB_GANG) best->machine->kept_for = (int)j->spec->priority;
-    return best;
+    if (j->spec->kind == AMB_GANG) s->machine->kept_for = (int)j->spec->priority;
+    return s;
 }
 
 /* Would the fetch alone use up most of the time in which the job's class is to start? */
