The last write tokens for users are kept for prod jobs

When more comes than can be written, what users wait for most is accepted first; the others are told at once to come back.

--- a/include/amberpin/store.h
+++ b/include/amberpin/store.h
@@ -51,12 +51,13 @@
 };
 
 void amb_store_init(struct amb_store *s, const struct amb_settings *set);
-void amb_store_share(struct amb_store *s, bool leading);   /* the leader writes most */
-bool amb_store_can_write(struct amb_store *s, uint32_t n); /* for a user */
+void amb_store_share(struct amb_store *s, bool leading); /* the leader writes most */
+/* For a user: are there tokens, and keep: a share of the bucket left for more urgent jobs? */
+bool amb_store_can_write(struct amb_store *s, uint32_t n, double keep);
 /* The leader's: write tokens that it does not need go to the users' half, at all nodes alike. How many. */
 double amb_store_lend(struct amb_store *s);
 void amb_store_lent(struct amb_store *s, double tokens); /* the leader says so */
-void amb_store_user_wrote(struct amb_store *s);            /* some node's write for a user has been seen */
+void amb_store_user_wrote(struct amb_store *s);          /* some node's write for a user has been seen */
 void amb_store_get(struct amb_store *s, const char *key, enum amb_urgency u, amb_store_done fn, void *arg);
 void amb_store_list(struct amb_store *s, const char *prefix, const char *after, amb_store_done fn, void *arg);
 void amb_store_follow(struct amb_store *s, const char *prefix, uint64_t after, amb_ms wait, amb_store_done fn,
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -357,7 +357,7 @@
 
 static void cancel_commit(struct ask *a, struct amb_job *j) {
     struct amb_node *n = a->node;
-    if (!j->spec || !amb_store_can_write(&n->store, 1)) {
+    if (!j->spec || !amb_store_can_write(&n->store, 1, 0)) {
         ask_status(a, 503);
         return;
     }
@@ -412,6 +412,11 @@
     return AMB_VERDICT_NEVER;
 }
 
+/* When more comes than can be written, what users wait for most is accepted first. */
+static double kept_for_others(const struct amb_spec *s) {
+    return s->priority == AMB_PROD ? 0 : s->priority == AMB_HIGH ? 0.2 : 0.3;
+}
+
 static void submit(struct ask *a) {
     struct amb_node *n = a->node;
     struct amb_spec *spec = amb_alloc(sizeof *spec);
@@ -439,7 +444,7 @@
         amb_jobs_sync(n, ask_fresh, a);
         return;
     }
-    if (v == AMB_VERDICT_LATER || !amb_store_can_write(&n->store, 1)) {
+    if (v == AMB_VERDICT_LATER || !amb_store_can_write(&n->store, 1, kept_for_others(spec))) {
         free(spec);
         ask_status(a, 503);
         return;
--- a/lib/store.c
+++ b/lib/store.c
@@ -118,8 +118,8 @@
 /* Users come to one node after another, in bursts. Were their half of the writes parted among the nodes, one
  * submission would use up a small share and the next be refused while the others' tokens lie unused. All
  * nodes follow all jobs, so each can count what the others write and draw on the whole. */
-static amb_ms user_wait(const struct amb_store *s, uint32_t n) {
-    return n ? amb_budget_wait(&s->user_writes, s->user_pending + n) : 0;
+static amb_ms user_wait(const struct amb_store *s, uint32_t n, double keep) {
+    return n ? amb_budget_wait(&s->user_writes, s->user_pending + n + keep * s->user_writes.rate) : 0;
 }
 
 void amb_store_user_wrote(struct amb_store *s) {
@@ -140,8 +140,8 @@
     amb_budget_refill(&s->user_writes, now);
 }
 
-/* When a fleet starts, or comes back after an outage, users have much to say and the leader nothing to record:
- * with their own half alone the first services were accepted up to 9 s late. */
+/* When a fleet starts, or comes back after an outage, users have much to say and the leader nothing to
+ * record: with their own half alone the first services were accepted up to 9 s late. */
 double amb_store_lend(struct amb_store *s) {
     refill(s);
     double spare = s->writes.tokens - s->writes.rate / 2;
@@ -164,7 +164,7 @@
             amb_ms wait = 0;
             if (u != AMB_URGENT_LEASE) { /* keeping the leadership never waits for tokens */
                 amb_ms wr = amb_budget_wait(&s->requests, 1);
-                amb_ms ww = u == AMB_URGENT_USER ? user_wait(s, op->writes)
+                amb_ms ww = u == AMB_URGENT_USER ? user_wait(s, op->writes, 0)
                             : op->writes         ? amb_budget_wait(&s->writes, op->writes)
                                                  : 0;
                 wait = wr > ww ? wr : ww;
@@ -228,10 +228,10 @@
     amb_budget_rate(&s->user_writes, s->write_rps * 0.5);
 }
 
-bool amb_store_can_write(struct amb_store *s, uint32_t n) {
+bool amb_store_can_write(struct amb_store *s, uint32_t n, double keep) {
     refill(s);
     return amb_now() >= s->held_until && !s->queue[AMB_URGENT_USER] && !amb_budget_wait(&s->requests, 1) &&
-           !user_wait(s, n);
+           !user_wait(s, n, keep);
 }
 
 void amb_store_get(struct amb_store *s, const char *key, enum amb_urgency u, amb_store_done fn, void *arg) {
