--- a/tests/standin.c
+++ b/tests/standin.c
@@ -7,7 +7,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { MACHINES = 64, TASKS = 512, KEYS = 512, LEASES = 256, CHANGES = 4096, JOBS = 64, CALLS = 4096 };
+enum { MACHINES = 512, TASKS = 512, KEYS = 2048, LEASES = 256, CHANGES = 16384, JOBS = 256, CALLS = 4096 };
+
+const struct sim_size sim_small = {3, 12, 16, 12}, sim_grown = {7, 120, 120, 40};
+static const struct sim_size *size = &sim_small;
+
+static int team_limit(void) { /* GPUs */
+    return 2 * size->machines;
+}
 enum {
     REPORT = 1000,
     LEASE = 10000,
@@ -61,7 +68,7 @@
     struct amb_timer *t;
     int owner;
     uint64_t order;
-} timers[1024];
+} timers[8192];
 static size_t ntimers;
 static uint64_t order_count;
 
@@ -714,7 +721,7 @@
         }
     }
     in_zone[m->zone]++;
-    if (gpus > 24) broken("quota: team of %s%s", t->ref, "");
+    if (gpus > team_limit()) broken("quota: team of %s%s", t->ref, "");
     if (m->spot && !j->spec.spot) broken("wrong_place: %s on spot %s", t->ref, m->name);
     if (j->spec.spread && in_zone[m->zone] > amb_place_spread_most(j->spec.tasks))
         broken("wrong_place: spread of %s on %s", t->ref, m->name);
@@ -912,7 +919,7 @@
             m->node = name[1] - '0';
             next = between(0, 500);
         } else if (c->status != 200) {
-            m->node = (m->node + 1) % SIM_NODES;
+            m->node = (m->node + 1) % size->nodes;
         }
         m->changed = false;
         if (body) cbor_decref(&body);
@@ -942,7 +949,7 @@
     for (int k = 0; k < copies; k++) {
         struct call *c = call_new();
         c->to = AT_FRONT;
-        c->node = k ? (int)(draw() % SIM_NODES) : m->node;
+        c->node = k ? (int)(draw() % (uint64_t)size->nodes) : m->node;
         c->from_machine = i;
         strcpy(c->method, "POST");
         strcpy(c->path, "/hello");
@@ -1008,7 +1015,7 @@
     m->spot = spot;
     m->exists = true;
     m->created = now_ms;
-    m->node = nmachines % SIM_NODES;
+    m->node = nmachines % size->nodes;
     nmachines++;
     amb_timer_in(&m->report, boots, boot, m);
 }
@@ -1064,7 +1071,8 @@
     int k = 0, there = 0;
     while (k < ncharters && strcmp(charters[k], id)) k++;
     for (int i = 0; i < nmachines; i++) there += machines[i].exists;
-    int room = 12 - there < MACHINES - nmachines ? 12 - there : MACHINES - nmachines;
+    int room = size->machines - there;
+    if (room > MACHINES - nmachines) room = MACHINES - nmachines;
     if (k == ncharters) {
         if (fault(SIM_NO_CAPACITY, -1) || room <= 0 || ncharters == 256) {
             struct amb_buf b = {0};
@@ -1172,7 +1180,7 @@
     if (j->accepted && j->cancel_at && now_ms >= j->cancel_at) j->cancel_wanted = true;
     bool cancel = !submit && j->cancel_wanted && !j->cancel_told && !j->done_told;
     c->to = AT_FRONT;
-    c->node = (int)(draw() % SIM_NODES);
+    c->node = (int)(draw() % (uint64_t)size->nodes);
     c->user = j;
     c->user_fn = user_answered;
     strcpy(c->method, submit || cancel ? "POST" : "GET");
@@ -1189,7 +1197,7 @@
 }
 
 static void draw_jobs(amb_ms length) {
-    njobs = 16;
+    njobs = size->jobs;
     for (int i = 0; i < njobs; i++) {
         struct sim_job *j = &jobs[i];
         struct amb_spec *s = &j->spec;
@@ -1201,7 +1209,7 @@
         s->image_gb = 10;
         s->kind = (enum amb_kind)(draw() % 3);
         s->priority = s->kind == AMB_SERVICE ? AMB_PROD : (enum amb_priority)(draw() % 3);
-        s->tasks = (uint32_t)between(1, s->kind == AMB_ARRAY ? 12 : 4);
+        s->tasks = (uint32_t)between(1, s->kind == AMB_ARRAY ? (amb_ms)size->tasks : 4);
         s->each = (struct amb_res){8, (double)between(1, 2), 40};
         s->estimate_s = s->kind == AMB_SERVICE ? 0 : (double)between(5, 30);
         s->one_zone = s->kind == AMB_GANG && draw() % 2;
@@ -1228,7 +1236,7 @@
     snprintf(set->peer_listen, sizeof set->peer_listen, "P%d:1", i);
     strcpy(set->state, "S:1");
     strcpy(set->cloud, "C:1");
-    for (int k = 0; k < SIM_NODES; k++) {
+    for (int k = 0; k < size->nodes; k++) {
         if (k == i) continue;
         snprintf(set->peers[set->npeers].member, AMB_NAME, "n%d", k);
         snprintf(set->peers[set->npeers++].addr, AMB_NAME, "P%d:1", k);
@@ -1239,8 +1247,8 @@
     set->nteams = 2;
     for (uint32_t t = 0; t < 2; t++) {
         snprintf(set->teams[t].name, AMB_NAME, "team-%u", t);
-        set->teams[t].guarantee.gpus = 8;
-        set->teams[t].limit.gpus = 24;
+        set->teams[t].guarantee.gpus = team_limit() / 3;
+        set->teams[t].limit.gpus = team_limit();
     }
     set->report_s = 1, set->lease_s = LEASE / 1000.0, set->cancel_s = CANCEL / 1000.0;
     set->gang_wait_s = GANG_WAIT / 1000.0, set->gang_peer_s = 5;
@@ -1270,7 +1278,7 @@
 }
 
 static int leader(void) {
-    for (int i = 0; i < SIM_NODES; i++)
+    for (int i = 0; i < size->nodes; i++)
         if (nodes[i].alive && amb_leads(nodes[i].n)) return i;
     return 0;
 }
@@ -1328,9 +1336,11 @@
     return true;
 }
 
-struct sim_result sim_day(uint64_t seed, amb_ms length, const struct sim_fault *list, size_t count) {
+struct sim_result sim_day(const struct sim_size *of, uint64_t seed, amb_ms length,
+                          const struct sim_fault *list, size_t count) {
     struct sim_fault mine[64];
     bool begun[64] = {false};
+    size = of;
     reset(seed);
     amb_ms start = now_ms;
     for (size_t i = 0; i < count; i++) {
@@ -1339,7 +1349,7 @@
     }
     faults = mine;
     nfaults = count;
-    for (int i = 0; i < SIM_NODES; i++) node_start(&nodes[i]);
+    for (int i = 0; i < size->nodes; i++) node_start(&nodes[i]);
     for (int i = 0; i < 2; i++) machine_new(i, false, 500);
     amb_ms keep = now_ms;
     draw_jobs(length);
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -7,7 +7,13 @@
 
 #include "amberpin/node.h"
 
-enum { SIM_NODES = 3 };
+enum { SIM_NODES = 7 }; /* at most */
+
+struct sim_size { /* how large the deployment of a day is */
+    int nodes, machines, jobs;
+    uint32_t tasks; /* of an array, at most */
+};
+extern const struct sim_size sim_small, sim_grown;
 
 enum sim_fault_kind {
     SIM_KILL,            /* node dies, comes back after a while */
@@ -44,6 +50,7 @@
 };
 
 /* Plays a day of `length` with jobs and small luck drawn from the seed. */
-struct sim_result sim_day(uint64_t seed, amb_ms length, const struct sim_fault *faults, size_t nfaults);
+struct sim_result sim_day(const struct sim_size *size, uint64_t seed, amb_ms length,
+                          const struct sim_fault *faults, size_t nfaults);
 
 #endif
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -13,7 +13,7 @@
     "copies",  "lost answers",    "late requests", "bad machine",  "no capacity", "zones apart"};
 
 static void must_hold(const char *what, uint64_t seed, const struct sim_fault *f, size_t n) {
-    struct sim_result r = sim_day(seed, DAY + 20000, f, n);
+    struct sim_result r = sim_day(&sim_small, seed, DAY + 20000, f, n);
     if (r.broken[0]) fail_msg("%s, seed %llu: %s", what, (unsigned long long)seed, r.broken);
     if (r.accepted < 12 || r.done < 3 || r.starts < 10 || r.open)
         fail_msg("%s, seed %llu: %u accepted, %u done, %u starts, %u left open", what,
@@ -119,11 +119,28 @@
     }
 }
 
+/* The size of the grown deployments: seven nodes, over a hundred machines, bursts of hundreds of tasks. */
+static void grown_day(void **state) {
+    (void)state;
+    const struct sim_fault f[] = {{SIM_KILL, 30000, 1, -1},
+                                  {SIM_ZONES_APART, 40000, 15000, -1},
+                                  {SIM_OUTAGE, 60000, 12000, -1},
+                                  {SIM_KILL, 65000, 1, -1},
+                                  {SIM_LATE, 75000, 15000, -1},
+                                  {SIM_CUT_BUT_WORKERS, 95000, 15000, -1},
+                                  {SIM_LOSE_ANSWERS, 80000, 9000, -1},
+                                  {SIM_HANG, 85000, 25000, -1}};
+    struct sim_result r = sim_day(&sim_grown, 7, DAY, f, ROWS(f));
+    if (r.broken[0]) fail_msg("%s", r.broken);
+    if (r.accepted < 100 || r.done < 40 || r.starts < 900 || r.open)
+        fail_msg("%u accepted, %u done, %u starts, %u left open", r.accepted, r.done, r.starts, r.open);
+}
+
 int main(void) {
     amb_log_init(getenv("LOG_LEVEL") ? getenv("LOG_LEVEL") : "error");
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(quiet_days), cmocka_unit_test(single_troubles), cmocka_unit_test(named_days),
-        cmocka_unit_test(drawn_days), cmocka_unit_test(found_days),
+        cmocka_unit_test(drawn_days), cmocka_unit_test(found_days),      cmocka_unit_test(grown_day),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
