Stand-in: a late answer no longer goes to the call that took the place of the one given up

A node may hold a question longer than its user waits; the stand-in then handed the answer to whichever call used that place since, which showed as answers of the wrong job. Calls now carry a serial.

--- a/tests/standin.c
+++ b/tests/standin.c
@@ -115,6 +115,7 @@
 
 struct call { /* a request and its answer on their way */
     bool used;
+    uint64_t serial; /* tells the uses of this place apart */
     struct amb_http_req req;
     enum where to;
     int node, machine, from, from_machine; /* from: node, or -1 for a worker or user */
@@ -132,6 +133,12 @@
     void *user;
 };
 static struct call calls[CALLS];
+static uint64_t call_count;
+
+struct asked { /* what a request that a node holds refers to; its user may have given up meanwhile */
+    struct call *call;
+    uint64_t serial;
+};
 
 struct sim_node {
     struct amb_node *n;
@@ -234,6 +241,7 @@
     for (int i = 0; i < CALLS; i++)
         if (!calls[i].used) {
             calls[i].used = true;
+            calls[i].serial = ++call_count;
             calls[i].from = calls[i].from_machine = calls[i].node = calls[i].machine = -1;
             return &calls[i];
         }
@@ -305,7 +313,9 @@
         return;
     }
     struct amb_http_req *r = amb_alloc(sizeof *r);
-    r->conn = (struct amb_conn *)c;
+    struct asked *asked = amb_alloc(sizeof *asked);
+    *asked = (struct asked){c, c->serial};
+    r->conn = (struct amb_conn *)asked;
     snprintf(r->method, sizeof r->method, "%s", c->method);
     snprintf(r->path, sizeof r->path, "%s", c->path);
     r->body = amb_alloc(c->len + 1);
@@ -319,13 +329,18 @@
 
 void amb_http_reply(struct amb_http_req *req, int status, const char *type, const void *body, size_t len,
                     int retry) {
-    struct call *c = (struct call *)req->conn;
+    struct asked *asked = (struct asked *)req->conn;
+    struct call *c = asked->call;
     struct amb_buf b = {0};
     (void)type;
     if (status == 503 && !retry && strcmp(req->path, "/healthz"))
         broken("a 503 without Retry-After for %s%s", req->path, "");
-    if (len) amb_buf_add(&b, body, len);
-    if (c->used && !c->answered) call_answer(c, status, &b);
+    /* Without the serial a late answer went to whoever's call had taken the place since. */
+    if (c->used && c->serial == asked->serial && !c->answered) {
+        if (len) amb_buf_add(&b, body, len);
+        call_answer(c, status, &b);
+    }
+    free(asked);
     free(req->body);
     free(req);
 }
