Gangs within their team's guarantee take room on machines that are up before they wait for a boot

Ruled out: the fetch alone (20.2 s give or take a third; placed at once it is nearly always in time), missing capacity.

--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -184,6 +184,7 @@
     amb_ms first_at;     /* when this node first knew it */
     uint64_t list_pass;  /* the cloud's list that last named it */
     int kept_for;        /* priority of expected work that it is kept for; -1: none */
+    bool claimed;        /* by a gang within its team's guarantee, which waits for room here */
     bool halts_due;      /* tasks to be told to stop, without waiting for its next report */
     bool drain;          /* being emptied, to be returned */
     bool failed;         /* by the cloud's word: it stopped on its own */
--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -17,6 +17,7 @@
     int kept_for;                /* for expected work of this priority, that users wait for; -1: not kept */
     double lasting;              /* GPUs of tasks that run until they are cancelled */
     double fetching_gb;          /* images on their way there, which a further fetch shares the rate with */
+    bool claimed;                /* by a gang that waits for the room: no batch work meanwhile */
 };
 
 struct amb_wish { /* what one task needs */
--- a/lib/place.c
+++ b/lib/place.c
@@ -77,6 +77,7 @@
     if (w->zone >= 0 && w->zone != s->zone) return false;
     if (s->spot && !w->spot) return false;
     if (w->can_wait && kept_from(w, s)) return false;
+    if (w->patient && s->claimed) return false;
     return !w->zone_most || w->zone_used[s->zone] < w->zone_most;
 }
 
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -100,6 +100,8 @@
         if (!within_plan(p, j, j->spec->tasks) || j->spec->tasks > AMB_PLAN_TASKS) return;
         int where[AMB_PLAN_TASKS];
         amb_res_add(&p->extra[team], &j->spec->each, j->spec->tasks);
+        /* A place that has to boot is taken only when no running work can make way. */
+        if (amb_round_make_room_gang(r, j)) return;
         if (amb_round_place_gang(r, j, where, true)) {
             for (uint32_t i = 0; i < j->spec->tasks; i++) {
                 struct amb_slot *s = &r->slots[where[i]];
@@ -317,7 +319,10 @@
     p->r = r;
     amb_round_add_coming(r);
     for (uint32_t i = 0; i < r->nslots; i++)
-        if (r->slots[i].machine) r->slots[i].machine->kept_for = -1;
+        if (r->slots[i].machine) {
+            r->slots[i].machine->kept_for = -1;
+            r->slots[i].machine->claimed = false;
+        }
     for (uint32_t i = 0; i < r->njobs; i++)
         if (amb_round_wants_start(r, r->jobs[i])) plan_job(p, r->jobs[i]);
     note_demand(p);
--- a/lib/round.c
+++ b/lib/round.c
@@ -60,6 +60,7 @@
     s->usable = usable;
     s->machine = m;
     s->kept_for = m->kept_for;
+    s->claimed = m->claimed;
     for (struct amb_task *t = m->tasks; t; t = t->next) {
         if (t->halting) amb_res_add(&s->soon, &t->job->spec->each, 1);
         if (t->job->spec->kind == AMB_SERVICE) s->lasting += t->job->spec->each.gpus;
@@ -332,10 +333,9 @@
     return c->guaranteed && s->checkpoint_s > 0 && t->job->team != c->team && beyond_guarantee(t->job->team);
 }
 
-struct amb_slot *amb_round_make_room(struct amb_round *r, struct amb_job *j, const struct amb_wish *w,
-                                     bool image_only) {
-    const struct amb_claim claim = amb_round_claim(j->spec, j->team);
-    if (r->n->opt.preempt < 0.5 || (j->spec->priority < AMB_HIGH && !claim.guaranteed)) return NULL;
+/* The machine on which least is lost when work makes way for the wish; -1: there is none. */
+static int least_lost(const struct amb_round *r, const struct amb_wish *w, const struct amb_claim *claim,
+                      bool image_only) {
     int best = -1;
     double least = INFINITY;
     for (uint32_t i = 0; i < r->nslots; i++) {
@@ -346,7 +346,7 @@
         amb_res_add(&room, &s->soon, 1);
         double lost = s->has_image ? 0 : 1000;
         for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&w->need, &room); t = t->next) {
-            if (!amb_round_makes_way(t, &claim)) continue;
+            if (!amb_round_makes_way(t, claim)) continue;
             amb_res_add(&room, &t->job->spec->each, 1);
             lost += t->running_at ? (double)(r->now - t->running_at) / 1000 : 0;
         }
@@ -355,24 +355,71 @@
             best = (int)i;
         }
     }
-    if (best < 0) return NULL;
-    struct amb_slot *s = &r->slots[best];
+    return best;
+}
+
+/* More was promised of the machine than it has: work is told to stop until it has it. */
+static void clear_way(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim) {
+    static const struct amb_res nothing = {0, 0, 0};
     struct amb_res room = s->room;
     amb_res_add(&room, &s->soon, 1);
-    for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&w->need, &room); t = t->next) {
-        if (!amb_round_makes_way(t, &claim)) continue;
+    for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&nothing, &room); t = t->next) {
+        if (!amb_round_makes_way(t, claim)) continue;
         amb_res_add(&room, &t->job->spec->each, 1);
         amb_res_add(&s->soon, &t->job->spec->each, 1);
         amb_task_halt(r->n, t, t->job->spec->checkpoint_s > 0 ? t->job->spec->save_s : 0,
                       "room for a job that goes before it");
     }
+}
+
+struct amb_slot *amb_round_make_room(struct amb_round *r, struct amb_job *j, const struct amb_wish *w,
+                                     bool image_only) {
+    const struct amb_claim claim = amb_round_claim(j->spec, j->team);
+    if (r->n->opt.preempt < 0.5 || (j->spec->priority < AMB_HIGH && !claim.guaranteed)) return NULL;
+    int best = least_lost(r, w, &claim, image_only);
+    if (best < 0) return NULL;
+    struct amb_slot *s = &r->slots[best];
     amb_res_add(&s->room, &w->need, -1);
+    clear_way(r, s, &claim);
     s->planned++;
     /* Until it has come, no batch work goes there. */
     if (j->spec->kind == AMB_GANG) s->machine->kept_for = (int)j->spec->priority;
     return s;
 }
 
+/* For a whole gang on machines that are up, zone by zone if it binds itself to one. Nothing is stopped unless
+ * all of it finds room. */
+bool amb_round_make_room_gang(struct amb_round *r, struct amb_job *j) {
+    const struct amb_claim claim = amb_round_claim(j->spec, j->team);
+    if (r->n->opt.preempt < 0.5 || (j->spec->priority < AMB_HIGH && !claim.guaranteed)) return false;
+    struct amb_wish w;
+    amb_round_wish(r, j, &w);
+    int only = w.zone, *where = amb_alloc(j->spec->tasks * sizeof *where);
+    uint32_t tries = j->spec->one_zone && only < 0 ? r->n->catalog.nzones : 1, got = 0;
+    for (uint32_t z = 0; z < tries && got < j->spec->tasks; z++) {
+        if (tries > 1) w.zone = (int)z;
+        for (got = 0; got < j->spec->tasks; got++) {
+            where[got] = least_lost(r, &w, &claim, false);
+            if (where[got] < 0) break;
+            amb_res_add(&r->slots[where[got]].room, &w.need, -1);
+            j->zone_used[r->slots[where[got]].zone]++;
+        }
+        for (uint32_t i = 0; i < got; i++) j->zone_used[r->slots[where[i]].zone]--;
+        for (uint32_t i = 0; got < j->spec->tasks && i < got; i++)
+            amb_res_add(&r->slots[where[i]].room, &w.need, 1);
+    }
+    bool all = got == j->spec->tasks;
+    for (uint32_t i = 0; all && i < got; i++) {
+        struct amb_slot *s = &r->slots[where[i]];
+        clear_way(r, s, &claim);
+        s->planned++;
+        s->machine->kept_for = (int)j->spec->priority;
+        s->machine->claimed = true;
+    }
+    free(where);
+    return all;
+}
+
 /* Would the fetch alone use up most of the time in which the job's class is to start? */
 static bool fetch_too_long(const struct amb_round *r, const struct amb_job *j, const struct amb_slot *s) {
     const struct amb_objective *o = amb_round_wait_objective(r->n, j->spec);
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -8,11 +8,11 @@
     (void)state;
     /* type 0: 8 GPUs; machines: 0 empty in A, 1 half full in A, 2 spot in B, 3 in B with the image */
     static const struct amb_slot slots[] = {
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 0, -1, 0, 0},
-        {{32, 4, 250}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 4, -1, 0, 0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, B, true, false, true, 1, NULL, 0, -1, 0, 0},
-        {{8, 1, 60}, {8, 1, 60}, 8, 1, B, false, true, true, 0, NULL, 7, -1, 0, 0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, false, 0, NULL, 0, -1, 0, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 0, -1, 0, 0, false},
+        {{32, 4, 250}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 4, -1, 0, 0, false},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, B, true, false, true, 1, NULL, 0, -1, 0, 0, false},
+        {{8, 1, 60}, {8, 1, 60}, 8, 1, B, false, true, true, 0, NULL, 7, -1, 0, 0, false},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, false, 0, NULL, 0, -1, 0, 0, false},
     };
     static const uint32_t none[AMB_ZONES] = {0}, two_in_a[AMB_ZONES] = {2, 0};
     static const struct {
@@ -60,8 +60,8 @@
     (void)state;
     static const uint32_t none[AMB_ZONES] = {0};
     static const struct amb_slot slots[] = {
-        {{64, 2, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 6, -1, 0, 0},
-        {{64, 4, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 2, -1, 4, 0},
+        {{64, 2, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 6, -1, 0, 0, false},
+        {{64, 4, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 2, -1, 4, 0, false},
     };
     struct amb_wish w = {{8, 2, 40}, 1, -1, false, none, 0, true, AMB_HIGH, false, false};
     assert_int_equal(amb_place_pick(&w, slots, ROWS(slots), false), 1);
@@ -75,8 +75,8 @@
     (void)state;
     static const uint32_t none[AMB_ZONES] = {0};
     static const struct amb_slot slots[] = {
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 0, AMB_NORMAL, 0, 0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 0, -1, 0, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 0, AMB_NORMAL, 0, 0, false},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 0, -1, 0, 0, false},
     };
     static const struct {
         enum amb_priority priority;
@@ -94,6 +94,13 @@
         int got = amb_place_pick(&w, slots, rows[i].slots, false);
         if (got != rows[i].want) fail_msg("row %zu: %d", i, got);
     }
+    /* What a gang has claimed is not for batch work at all, or the room made would be taken as it comes. */
+    struct amb_slot claimed = slots[0];
+    claimed.claimed = true;
+    struct amb_wish w = {{8, 1, 40}, 1, -1, false, none, 0, false, AMB_NORMAL, true, false};
+    assert_int_equal(amb_place_pick(&w, &claimed, 1, false), -1);
+    w.patient = false;
+    assert_int_equal(amb_place_pick(&w, &claimed, 1, false), 0);
 }
 
 /* Only a start in time counts: what can't be in time is all about as bad, what surely is as good. */
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -1,6 +1,7 @@
 /* The safety protocol, as the leader's handling of reports: what proves a task absent, what may be ordered,
  * and what late copies must not do. No network: the node is put together by hand. */
 #include "amberpin/node.h"
+#include "amberpin/round.h"
 #include "check.h"
 
 enum { TERM = 50 };
@@ -335,6 +336,70 @@
     assert_int_equal(j->gang, AMB_GANG_IDLE);
 }
 
+/* Room for a gang that its team is guaranteed: what another team runs beyond its own guarantee makes way, on
+ * all machines that it takes or on none. (Gangs once waited for machines to boot while such work ran on.) */
+static void gangs_make_room(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        uint32_t tasks;
+        double guaranteed; /* to the gang's team; the other has 4 */
+        double checkpoint_s;
+        bool preempt, room;
+        uint32_t stopped;
+    } rows[] = {
+        {"one machine's worth", 1, 16, 10, true, true, 8},
+        {"all that there is", 2, 16, 10, true, true, 16},
+        {"more than there is", 3, 32, 10, true, false, 0},
+        {"not guaranteed", 2, 8, 10, true, false, 0},
+        {"what would lose its work", 2, 16, 0, true, false, 0},
+        {"by the operators' wish", 2, 16, 10, false, false, 0},
+    };
+    for (size_t k = 0; k < ROWS(rows); k++) {
+        node->set.nteams = 2;
+        node->set.teams[0].guarantee.gpus = 4;
+        node->set.teams[1].guarantee.gpus = rows[k].guaranteed;
+        node->opt.preempt = rows[k].preempt;
+        struct amb_job *sweep = add_job("wk-1", AMB_ARRAY, 16),
+                       *gang = add_job("wk-2", AMB_GANG, rows[k].tasks);
+        sweep->spec->priority = gang->spec->priority = AMB_NORMAL;
+        sweep->spec->checkpoint_s = rows[k].checkpoint_s;
+        sweep->spec->spot = gang->spec->spot = true;
+        gang->spec->each = (struct amb_res){80, 8, 500};
+        gang->team = &node->set.teams[1];
+        for (uint32_t i = 0; i < 16; i++) {
+            struct amb_task *t = bound(sweep, i, i < 8 ? "m-1" : "m-2", 1);
+            t->state = AMB_TASK_SEEN;
+            t->on = AMB_ON_RUNNING;
+        }
+        report("m-1", k + 1, 1, TERM, amb_now(), NULL, 0);
+        report("m-2", k + 1, 1, TERM, amb_now(), NULL, 0);
+        for (uint32_t i = 0; i < 16; i++) {
+            if (!sweep->tasks[i].machine) bound(sweep, i, i < 8 ? "m-1" : "m-2", 2);
+            sweep->tasks[i].state = AMB_TASK_SEEN;
+        }
+        struct amb_round *r = amb_round_new(node, amb_now());
+        amb_round_mark(r, gang->spec, gang->spec->image);
+        uint32_t stopped = 0, claimed = 0;
+        bool room = amb_round_make_room_gang(r, gang);
+        for (uint32_t i = 0; i < r->nslots; i++) claimed += r->slots[i].machine->claimed;
+        amb_round_free(r);
+        for (uint32_t i = 0; i < 16; i++) stopped += sweep->tasks[i].halting;
+        if (room != rows[k].room || stopped != rows[k].stopped || claimed != rows[k].stopped / 8)
+            fail_msg("%s: room %d, %u stopped, %u machines claimed", rows[k].what, room, stopped, claimed);
+        for (uint32_t i = 0; i < 16; i++) amb_task_unbind(node, &sweep->tasks[i], "end of row");
+        struct amb_job *jobs[] = {sweep, gang};
+        for (size_t i = 0; i < ROWS(jobs); i++) {
+            amb_job_leave(node, jobs[i]);
+            HASH_DEL(node->jobs.all, jobs[i]);
+            free(jobs[i]->spec);
+            free(jobs[i]);
+        }
+        struct amb_machine *m, *next;
+        HASH_ITER(hh, node->fleet.all, m, next) m->claimed = false;
+    }
+}
+
 static void usage_counts_until_absence(void **state) {
     (void)state;
     struct amb_job *j = add_job("wk-1", AMB_ARRAY, 2);
@@ -629,6 +694,7 @@
         cmocka_unit_test_setup_teardown(returned_machines_never_come_back, setup, teardown),
         cmocka_unit_test_setup_teardown(gangs, setup, teardown),
         cmocka_unit_test_setup_teardown(gang_on_one_machine, setup, teardown),
+        cmocka_unit_test_setup_teardown(gangs_make_room, setup, teardown),
         cmocka_unit_test_setup_teardown(usage_counts_until_absence, setup, teardown),
         cmocka_unit_test_setup_teardown(records_are_read_back, setup, teardown),
         cmocka_unit_test_setup_teardown(unreachable_leader_yields, setup, teardown),
