--- a/include/amberpin/round.h
+++ b/include/amberpin/round.h
@@ -46,7 +46,7 @@
 struct amb_claim amb_round_claim(const struct amb_spec *s, const struct amb_team *team);
 bool amb_round_makes_way(const struct amb_task *t, const struct amb_claim *c);
 struct amb_slot *amb_round_make_room(struct amb_round *r, struct amb_job *j, const struct amb_wish *w,
-                                     double late_most);
+                                     bool image_only);
 bool amb_round_make_room_gang(struct amb_round *r, struct amb_job *j);
 
 #endif
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -72,7 +72,7 @@
     *done = false;
     /* A place that has to boot is taken only when no running work can make way. */
     bool up = at >= 0 && r->slots[at].machine && r->slots[at].machine->state == AMB_MACHINE_UP;
-    if (!up) s = amb_round_make_room(r, j, w, 1); /* takes the room itself */
+    if (!up) s = amb_round_make_room(r, j, w, false); /* takes the room itself */
     if (!s) {
         s = at >= 0 ? &r->slots[at] : patient ? NULL : rent_for(p, w, most, true);
         if (!s) {
--- a/lib/round.c
+++ b/lib/round.c
@@ -333,19 +333,18 @@
     return c->guaranteed && s->checkpoint_s > 0 && t->job->team != c->team && beyond_guarantee(t->job->team);
 }
 
-/* The machine on which least is lost when work makes way for the wish, of those that bode no worse for its
- * start in time than late_most; -1: there is none. */
+/* The machine on which least is lost when work makes way for the wish; -1: there is none. */
 static int least_lost(const struct amb_round *r, const struct amb_wish *w, const struct amb_claim *claim,
-                      double late_most) {
+                      bool image_only) {
     int best = -1;
     double least = INFINITY;
     for (uint32_t i = 0; i < r->nslots; i++) {
         struct amb_slot *s = &r->slots[i];
         if (!s->machine || s->machine->state != AMB_MACHINE_UP || !amb_place_allowed(w, s)) continue;
-        if (s->late > late_most) continue;
+        if (image_only && !s->has_image) continue;
         struct amb_res room = s->room;
         amb_res_add(&room, &s->soon, 1);
-        double lost = 1e4 * s->late; /* before whatever work is lost */
+        double lost = s->has_image ? 0 : 1000;
         for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&w->need, &room); t = t->next) {
             if (!amb_round_makes_way(t, claim)) continue;
             amb_res_add(&room, &t->job->spec->each, 1);
@@ -374,10 +373,10 @@
 }
 
 struct amb_slot *amb_round_make_room(struct amb_round *r, struct amb_job *j, const struct amb_wish *w,
-                                     double late_most) {
+                                     bool image_only) {
     const struct amb_claim claim = amb_round_claim(j->spec, j->team);
     if (r->n->opt.preempt < 0.5 || (j->spec->priority < AMB_HIGH && !claim.guaranteed)) return NULL;
-    int best = least_lost(r, w, &claim, late_most);
+    int best = least_lost(r, w, &claim, image_only);
     if (best < 0) return NULL;
     struct amb_slot *s = &r->slots[best];
     amb_res_add(&s->room, &w->need, -1);
@@ -400,7 +399,7 @@
     for (uint32_t z = 0; z < tries && got < j->spec->tasks; z++) {
         if (tries > 1) w.zone = (int)z;
         for (got = 0; got < j->spec->tasks; got++) {
-            where[got] = least_lost(r, &w, &claim, 1);
+            where[got] = least_lost(r, &w, &claim, false);
             if (where[got] < 0) break;
             amb_res_add(&r->slots[where[got]].room, &w.need, -1);
             j->zone_used[r->slots[where[got]].zone]++;
@@ -430,13 +429,13 @@
     return j->spec->image_gb / rate > o->within_s * 0.7;
 }
 
-/* Is room that bodes no worse about to come? */
-static bool promised(const struct amb_round *r, const struct amb_wish *w, double late_most) {
+/* Is room on a machine with the image about to come? */
+static bool promised(const struct amb_round *r, const struct amb_wish *w) {
     for (uint32_t i = 0; i < r->nslots; i++) {
-        const struct amb_slot *s = &r->slots[i];
-        struct amb_res room = s->room;
-        amb_res_add(&room, &s->soon, 1);
-        if (s->late <= late_most && amb_place_allowed(w, s) && amb_res_fits(&w->need, &room)) return true;
+        struct amb_res room = r->slots[i].room;
+        amb_res_add(&room, &r->slots[i].soon, 1);
+        if (r->slots[i].has_image && amb_place_allowed(w, &r->slots[i]) && amb_res_fits(&w->need, &room))
+            return true;
     }
     return false;
 }
@@ -446,7 +445,7 @@
     double save = 0;
     for (uint32_t i = 0; i < r->nslots; i++)
         for (struct amb_task *t = r->slots[i].machine ? r->slots[i].machine->tasks : NULL; t; t = t->next)
-            if (t->halting) save = fmax(save, t->grace_s);
+            if (t->halting && r->slots[i].has_image) save = fmax(save, t->grace_s);
     return amb_secs(save + r->n->set.report_s * 4);
 }
 
@@ -463,12 +462,11 @@
     struct amb_task *t = first_waiting(j);
     if (at < 0 || !t) return AMB_TRY_NO_FIT;
     /* A user waits for it, and fetching the image would take too long: better the room of other work on a
-     * machine that holds it, or that fetches so much faster that a start in time is likelier by a quarter. */
+     * machine that holds it. */
     if (!r->slots[at].has_image && fetch_too_long(r, j, &r->slots[at])) {
-        double bar = r->slots[at].late - 0.25;
         if (!j->image_since) j->image_since = r->now;
         if (r->now - j->image_since < room_takes(r) &&
-            (promised(r, &w, bar) || amb_round_make_room(r, j, &w, bar)))
+            (promised(r, &w) || amb_round_make_room(r, j, &w, true)))
             return AMB_TRY_NO_FIT;
     }
     j->image_since = 0;
