--- a/lib/place.c
+++ b/lib/place.c
@@ -93,7 +93,7 @@
         /* An image at hand, or soon fetched, first: fetching takes longer than most tasks may wait. Then spot
          * machines, which only some jobs can use. Then the fullest, so that others empty and can be returned.
          */
-        double score = (w->patient ? 0.5 : 7) * (1 - s->late) + (s->spot ? 4 : 0);
+        double score = (w->patient ? 0.5 : 7) * (1 - s->late) + (s->spot ? 2 : 0);
         if (s->size_gpus > 0) score += 1 - (room.gpus - w->need.gpus) / s->size_gpus;
         if (kept_from(w, s)) score -= 2;
         /* Tasks that last keep together: a machine with one of them can't be returned, and a machine with
