--- a/lib/plan.c
+++ b/lib/plan.c
@@ -161,9 +161,7 @@
                 struct amb_res room = c->room;
                 amb_res_add(&room, &c->soon, 1);
                 for (struct amb_task *t = c->machine->tasks; t; t = t->next)
-                    if (amb_round_makes_way(t, &claim) &&
-                        (claim.priority >= AMB_HIGH || amb_round_can_wait(n, t->job)))
-                        amb_res_add(&room, &t->job->spec->each, 1);
+                    if (amb_round_makes_way(t, &claim)) amb_res_add(&room, &t->job->spec->each, 1);
                 if (amb_res_fits(&w.need, &room)) s = c;
             }
             if (!s) s = rent_for(p, &w, (uint32_t)ceil(count) - k, false);
