--- a/lib/round.c
+++ b/lib/round.c
@@ -358,8 +358,18 @@
     return best;
 }
 
+/* Time to save is left to what is stopped, unless somebody waits for the start and the progress since its
+ * last checkpoint (half an interval, on the average) is worth little more than the time that saving takes. */
+static double grace_for(const struct amb_round *r, const struct amb_spec *stopped,
+                        const struct amb_spec *waits) {
+    if (stopped->checkpoint_s <= 0) return 0;
+    bool hurry = amb_round_wait_objective(r->n, waits) != NULL;
+    return hurry && stopped->checkpoint_s / 2 < stopped->save_s * 2 ? 0 : stopped->save_s;
+}
+
 /* More was promised of the machine than it has: work is told to stop until it has it. */
-static void clear_way(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim) {
+static void clear_way(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
+                      const struct amb_spec *waits) {
     static const struct amb_res nothing = {0, 0, 0};
     struct amb_res room = s->room;
     amb_res_add(&room, &s->soon, 1);
@@ -367,8 +377,7 @@
         if (!amb_round_makes_way(t, claim)) continue;
         amb_res_add(&room, &t->job->spec->each, 1);
         amb_res_add(&s->soon, &t->job->spec->each, 1);
-        amb_task_halt(r->n, t, t->job->spec->checkpoint_s > 0 ? t->job->spec->save_s : 0,
-                      "room for a job that goes before it");
+        amb_task_halt(r->n, t, grace_for(r, t->job->spec, waits), "room for a job that goes before it");
     }
 }
 
@@ -380,7 +389,7 @@
     if (best < 0) return NULL;
     struct amb_slot *s = &r->slots[best];
     amb_res_add(&s->room, &w->need, -1);
-    clear_way(r, s, &claim);
+    clear_way(r, s, &claim, j->spec);
     s->planned++;
     /* Until it has come, no batch work goes there. */
     if (j->spec->kind == AMB_GANG) s->machine->kept_for = (int)j->spec->priority;
@@ -411,7 +420,7 @@
     bool all = got == j->spec->tasks;
     for (uint32_t i = 0; all && i < got; i++) {
         struct amb_slot *s = &r->slots[where[i]];
-        clear_way(r, s, &claim);
+        clear_way(r, s, &claim, j->spec);
         s->planned++;
         s->machine->kept_for = (int)j->spec->priority;
         s->machine->claimed = true;
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -347,23 +347,33 @@
         double checkpoint_s;
         bool preempt, room;
         uint32_t stopped;
+        bool starts_count; /* the gang's class is to start in time */
+        double save_s, grace;
     } rows[] = {
-        {"one machine's worth", 1, 16, 10, true, true, 8},
-        {"all that there is", 2, 16, 10, true, true, 16},
-        {"more than there is", 3, 32, 10, true, false, 0},
-        {"not guaranteed", 2, 8, 10, true, false, 0},
-        {"what would lose its work", 2, 16, 0, true, false, 0},
-        {"by the operators' wish", 2, 16, 10, false, false, 0},
+        {"one machine's worth", 1, 16, 10, true, true, 8, false, 3, 3},
+        {"all that there is", 2, 16, 10, true, true, 16, false, 3, 3},
+        {"more than there is", 3, 32, 10, true, false, 0, false, 3, 0},
+        {"not guaranteed", 2, 8, 10, true, false, 0, false, 3, 0},
+        {"what would lose its work", 2, 16, 0, true, false, 0, false, 3, 0},
+        {"by the operators' wish", 2, 16, 10, false, false, 0, false, 3, 0},
+        {"a start that counts does not wait for little to be saved", 2, 16, 10, true, true, 16, true, 3, 0},
+        {"but for much", 2, 16, 20, true, true, 16, true, 3, 3},
     };
     for (size_t k = 0; k < ROWS(rows); k++) {
         node->set.nteams = 2;
         node->set.teams[0].guarantee.gpus = 4;
         node->set.teams[1].guarantee.gpus = rows[k].guaranteed;
         node->opt.preempt = rows[k].preempt;
+        node->set.nobjectives = rows[k].starts_count;
+        strcpy(node->set.objectives[0].kind, "wait");
+        strcpy(node->set.objectives[0].class_name, "tune");
+        node->set.objectives[0].within_s = 25;
         struct amb_job *sweep = add_job("wk-1", AMB_ARRAY, 16),
                        *gang = add_job("wk-2", AMB_GANG, rows[k].tasks);
         sweep->spec->priority = gang->spec->priority = AMB_NORMAL;
         sweep->spec->checkpoint_s = rows[k].checkpoint_s;
+        sweep->spec->save_s = rows[k].save_s;
+        strcpy(gang->spec->class_name, "tune");
         sweep->spec->spot = gang->spec->spot = true;
         gang->spec->each = (struct amb_res){80, 8, 500};
         gang->team = &node->set.teams[1];
@@ -385,6 +395,9 @@
         for (uint32_t i = 0; i < r->nslots; i++) claimed += r->slots[i].machine->claimed;
         amb_round_free(r);
         for (uint32_t i = 0; i < 16; i++) stopped += sweep->tasks[i].halting;
+        for (uint32_t i = 0; i < 16; i++)
+            if (sweep->tasks[i].halting && sweep->tasks[i].grace_s != rows[k].grace)
+                fail_msg("%s: stopped with grace %g", rows[k].what, sweep->tasks[i].grace_s);
         if (room != rows[k].room || stopped != rows[k].stopped || claimed != rows[k].stopped / 8)
             fail_msg("%s: room %d, %u stopped, %u machines claimed", rows[k].what, room, stopped, claimed);
         for (uint32_t i = 0; i < 16; i++) amb_task_unbind(node, &sweep->tasks[i], "end of row");
