--- a/lib/options.c
+++ b/lib/options.c
@@ -14,7 +14,7 @@
 
 static const struct option options[] = {
     {"leader-ttl", offsetof(struct amb_options, leader_ttl), 0.1, 0.5, 0.3},
-    {"headroom", offsetof(struct amb_options, headroom), 0, 10, 2.5},
+    {"headroom", offsetof(struct amb_options, headroom), 0, 10, 3.0},
     {"idle-return", offsetof(struct amb_options, idle_return), 0, 100, 0.2},
     {"silent-release", offsetof(struct amb_options, silent_release), 1.1, 100, 2.0},
     {"preempt", offsetof(struct amb_options, preempt), 0, 1, 1},
