--- a/lib/election.c
+++ b/lib/election.c
@@ -160,10 +160,12 @@
     struct amb_election *e = &n->election;
     /* Another node may have promised that a cancelled task is gone within cancel_s, and a worker keeps a task
      * for lease_s after our last answer. So when neither news nor word from every peer comes (which would
-     * tell of the cancellation, or of another leader), we stop in time for that. */
+     * tell of the cancellation, or of another leader), we stop in time for that: not much sooner, since when
+     * a cut lasts 30 s every task that reports here hangs on the last seconds (docs/safety.md has the sum).
+     */
     amb_ms own = e->renewed_at < n->jobs.fresh_sent_at ? e->renewed_at : n->jobs.fresh_sent_at;
     amb_ms word = amb_peer_confirmed(n, now);
-    amb_ms hold = (amb_ms)((n->set.cancel_s - n->set.lease_s) * 1000 * 0.8);
+    amb_ms hold = (amb_ms)((n->set.cancel_s - n->set.lease_s) * 1000 * 0.95);
     if (hold < e->ttl) hold = e->ttl;
     if (now - (word > own ? word : own) > hold)
         set_role(n, AMB_ROLE_MUTE, "neither news nor the peers' word that we still lead");
@@ -206,7 +208,9 @@
     if (e->role == AMB_ROLE_FOLLOWING && e->key_known && now - e->claim_at > e->ttl / 4 && !yields) {
         if (!e->holder[0])
             claim(n, 0, "nobody leads");
-        else if (!strcmp(e->holder, n->set.member))
+        else if (!strcmp(e->holder, n->set.member) && e->holder_stamp >= e->highest)
+            /* Not when a higher term is known: then it is our news of the key that is old, as with a node
+             * that the state service refuses alone, which would claim in vain four times a lease. */
             claim(n, e->holder_stamp, "the key names this node's former self"); /* which is dead */
     } else if (e->role == AMB_ROLE_CLAIMING && now - e->claim_at > e->ttl) {
         resign(n, "the claim took too long");
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -427,6 +427,34 @@
     assert_true(team->used.gpus == 1 && m->used.gpus == 1);
 }
 
+/* A key that still names this node is replaced, unless a higher term shows that the news of it is old. */
+static void claims(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *holder;
+        uint64_t stamp, highest;
+        enum amb_role want;
+    } rows[] = {
+        {"nobody leads", "", 10, 20, AMB_ROLE_CLAIMING},
+        {"another leads", "n-1", 10, 10, AMB_ROLE_FOLLOWING},
+        {"the key names this node's former self", "n-0", 10, 10, AMB_ROLE_CLAIMING},
+        {"it did, and another leads by now", "n-0", 10, 20, AMB_ROLE_FOLLOWING},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_election *e = &node->election;
+        strcpy(node->set.member, "n-0");
+        e->role = AMB_ROLE_FOLLOWING;
+        e->key_known = true;
+        e->claim_at = 0;
+        strcpy(e->holder, rows[i].holder);
+        e->holder_stamp = rows[i].stamp;
+        e->highest = rows[i].highest;
+        amb_election_tick(node, amb_now() + 2 * e->ttl);
+        if (e->role != rows[i].want) fail_msg("%s: role %d", rows[i].what, e->role);
+    }
+    node->election.role = AMB_ROLE_LEADING;
+}
+
 /* What is recorded is what a new leader reads. */
 static void records_are_read_back(void **state) {
     (void)state;
@@ -536,6 +564,8 @@
     } rows[] = {
         {"all well", 500, 500, 500, 90000, AMB_ROLE_LEADING},
         {"renewals fail", 9000, 9000, 90000, 90000, AMB_ROLE_UNSURE},
+        {"not yet too long for a cancellation told since", 18500, 18500, 90000, 90000, AMB_ROLE_UNSURE},
+        {"too long", 19500, 19500, 90000, 90000, AMB_ROLE_MUTE},
         {"renewals fail for long, the peer confirms", 50000, 50000, 500, 90000, AMB_ROLE_UNSURE},
         {"nor does the peer's word come", 50000, 50000, 50000, 90000, AMB_ROLE_MUTE},
         {"the peer has been born since", 50000, 50000, 500, 20000, AMB_ROLE_MUTE},
@@ -712,6 +742,7 @@
         cmocka_unit_test_setup_teardown(records_are_read_back, setup, teardown),
         cmocka_unit_test_setup_teardown(unreachable_leader_yields, setup, teardown),
         cmocka_unit_test_setup_teardown(stale_placements, setup, teardown),
+        cmocka_unit_test_setup_teardown(claims, setup, teardown),
         cmocka_unit_test_setup_teardown(leader_without_news, setup, teardown),
         cmocka_unit_test_setup_teardown(cancellation_by_hint, setup, teardown),
         cmocka_unit_test_setup_teardown(users_share_writes, setup, teardown),
