Every node remembers what classes asked for, so a new leader keeps the room its predecessor kept

Followers hear of every job, so they can note it; jobs heard of late count at their age. Ruled out: the peak that keeps machines from being emptied (idle ones do not ask for it).

--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -147,6 +147,7 @@
     int64_t accepted_wall, cancelled_wall;
     uint32_t shown_done, shown_running; /* as the leader last said */
     bool shown_changed;
+    bool demand_noted; /* as one of its class that came */
     UT_hash_handle hh;
     /* the leader's part */
     struct amb_job *next_live, *prev_live;
--- a/include/amberpin/plan.h
+++ b/include/amberpin/plan.h
@@ -6,6 +6,6 @@
 #include "amberpin/round.h"
 
 void amb_plan(struct amb_round *r);
-void amb_plan_demand(struct amb_node *n, const struct amb_spec *s); /* a job of its class has come */
+void amb_plan_demand(struct amb_node *n, struct amb_job *j); /* a job of its class has come */
 
 #endif
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -45,7 +45,10 @@
 
 static void loaded_all(struct amb_node *n) {
     struct amb_job *j, *next;
-    HASH_ITER(hh, n->jobs.all, j, next) if (j->state == AMB_JOB_QUEUED) amb_job_take(n, j);
+    HASH_ITER(hh, n->jobs.all, j, next) {
+        amb_plan_demand(n, j);
+        if (j->state == AMB_JOB_QUEUED) amb_job_take(n, j);
+    }
     n->ctl.loading = false;
     n->ctl.loaded_at = amb_now();
     uint32_t live = 0;
@@ -114,7 +117,6 @@
     c->load_after[0] = 0;
     c->load_term = n->election.term;
     c->round_at = c->plan_at = c->peak_at = 0;
-    c->ndemands = 0;
     bool by_gpus = false;
     for (uint32_t i = 0; i < n->set.nteams; i++) by_gpus |= n->set.teams[i].guarantee.gpus > 0;
     amb_wdrr_prepare(n->set.teams, n->set.nteams, by_gpus);
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -103,9 +103,9 @@
     /* A user's submission or cancellation, at whichever node. */
     if (n->jobs.loaded && (fresh || to == AMB_JOB_CANCELLED)) amb_store_user_wrote(&n->store);
     job_state(n, j, to);
+    if (n->jobs.loaded && fresh) amb_plan_demand(n, j);
     if (amb_holds_lead(n) && n->ctl.loaded_at && fresh && to == AMB_JOB_QUEUED) {
         amb_job_take(n, j);
-        if (j->spec) amb_plan_demand(n, j->spec);
         amb_controller_wake(n);
     }
 }
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -144,8 +144,10 @@
             boot = fmax(boot, n->catalog.types[t].boot_s);
         }
         double age = (double)(r->now - d->at) / 1000, fade = exp(-age / (4 * boot));
-        /* Arrivals come and tasks end about as often: what is left to cover is their spread. */
-        double count = n->opt.headroom * sqrt(d->rate * fade * boot * d->size2);
+        /* Arrivals come and tasks end about as often: what is left to cover is their spread. Of gangs some
+         * surely end meanwhile; services run until somebody says so. */
+        double part = 1;
+        double count = n->opt.headroom * part * sqrt(d->rate * fade * boot * d->size2);
         const struct amb_claim claim = amb_round_claim(&d->last, amb_settings_team(&n->set, d->last.team));
         struct amb_wish w = {
             .need = d->last.each, .type_mask = mask, .zone = -1, .spot = d->last.spot, .zone_used = none};
@@ -339,13 +341,19 @@
 
 /* ---- what classes ask for ---- */
 
-void amb_plan_demand(struct amb_node *n, const struct amb_spec *s) {
+void amb_plan_demand(struct amb_node *n, struct amb_job *j) {
     struct amb_controller *c = &n->ctl;
-    amb_ms now = amb_now();
+    const struct amb_spec *s = j->spec;
     struct amb_demand *d = NULL;
+    /* Noted once, by followers too: a leader that knew only what came since it led would return what its
+     * predecessor had kept, and rent it again. */
+    if (j->demand_noted || !s || !n->rental.catalog_known) return;
+    j->demand_noted = true;
     /* Work that starts late is missed, and a machine takes longer to boot than it may wait. */
     if (s->priority < AMB_HIGH && !amb_round_wait_objective(n, s)) return;
     if (s->kind == AMB_ARRAY) return;
+    int64_t age = amb_wall_ms() - j->accepted_wall;
+    amb_ms at = amb_now() - (age > 0 ? age : 0);
     for (uint32_t i = 0; i < c->ndemands && !d; i++)
         if (!strcmp(c->demands[i].class_name, s->class_name)) d = &c->demands[i];
     if (!d) {
@@ -353,15 +361,20 @@
         d = &c->demands[c->ndemands++];
         memset(d, 0, sizeof *d);
         strcpy(d->class_name, s->class_name);
-        d->at = now;
+        d->at = at;
     }
     double boot = 0;
     for (uint32_t t = 0; t < n->catalog.ntypes; t++) boot = fmax(boot, n->catalog.types[t].boot_s);
     double tau = fmax(4 * boot, n->set.lease_s);
-    d->rate = d->rate * exp(-(double)(now - d->at) / 1000 / tau) + 1 / tau; /* jobs a second */
-    d->at = now;
+    double since = (double)(at - d->at) / 1000; /* negative: an earlier job that was heard of later */
+    if (since >= 0) {
+        d->rate = d->rate * exp(-since / tau) + 1 / tau; /* jobs a second */
+        d->at = at;
+        d->last = *s;
+    } else {
+        d->rate += exp(since / tau) / tau;
+    }
     double square = (double)s->tasks * s->tasks;
     d->size2 = d->size2 > 0 ? d->size2 * 0.9 + square * 0.1 : square;
-    d->last = *s;
     amb_latest_first(d->images, NULL, &d->nimages, AMB_DEMAND_IMAGES, s->image, 0);
 }
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -1,9 +1,10 @@
 /* The safety protocol, as the leader's handling of reports: what proves a task absent, what may be ordered,
  * and what late copies must not do. No network: the node is put together by hand. */
-#include "amberpin/node.h"
-#include "amberpin/round.h"
+#include "amberpin/plan.h"
 #include "check.h"
 
+#include <math.h>
+
 enum { TERM = 50 };
 
 static struct amb_node *node;
@@ -427,6 +428,42 @@
     assert_true(team->used.gpus == 1 && m->used.gpus == 1);
 }
 
+/* What classes ask for is known whether this node led or not when it came, and in whatever order it heard. */
+static void demand_is_remembered(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        int ages[4]; /* seconds ago, in the order they are heard of */
+        bool lead_between, twice;
+        double rate; /* of 4 jobs, with a memory of 200 s */
+    } rows[] = {
+        {"all now", {0, 0, 0, 0}, false, false, 4 / 200.0},
+        {"one after the other", {150, 100, 50, 0}, false, false, 2.858 / 200},
+        {"in another order", {0, 100, 150, 50}, false, false, 2.858 / 200},
+        {"the lead comes in between", {150, 100, 50, 0}, true, false, 2.858 / 200},
+        {"heard of again at the take-over", {150, 100, 50, 0}, true, true, 2.858 / 200},
+    };
+    node->catalog.types[0].boot_s = 50;
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_job jobs[4];
+        struct amb_spec spec = {.kind = AMB_SERVICE, .priority = AMB_PROD, .tasks = 2, .class_name = "help"};
+        node->ctl.ndemands = 0;
+        memset(jobs, 0, sizeof jobs);
+        for (int k = 0; k < 4; k++) {
+            jobs[k].spec = &spec;
+            jobs[k].accepted_wall = amb_wall_ms() - rows[i].ages[k] * 1000;
+            if (k == 2 && rows[i].lead_between) amb_controller_lead(node);
+            amb_plan_demand(node, &jobs[k]);
+        }
+        for (int k = 0; k < 4 && rows[i].twice; k++) amb_plan_demand(node, &jobs[k]);
+        assert_int_equal(node->ctl.ndemands, 1);
+        struct amb_demand *d = &node->ctl.demands[0];
+        /* The rate holds at the latest arrival that was noted, a moment ago at most. */
+        if (fabs(d->rate - rows[i].rate) > rows[i].rate * 0.01 || d->size2 != 4)
+            fail_msg("%s: %g a second, squares %g", rows[i].what, d->rate, d->size2);
+    }
+}
+
 /* A key that still names this node is replaced, unless a higher term shows that the news of it is old. */
 static void claims(void **state) {
     (void)state;
@@ -742,6 +779,7 @@
         cmocka_unit_test_setup_teardown(records_are_read_back, setup, teardown),
         cmocka_unit_test_setup_teardown(unreachable_leader_yields, setup, teardown),
         cmocka_unit_test_setup_teardown(stale_placements, setup, teardown),
+        cmocka_unit_test_setup_teardown(demand_is_remembered, setup, teardown),
         cmocka_unit_test_setup_teardown(claims, setup, teardown),
         cmocka_unit_test_setup_teardown(leader_without_news, setup, teardown),
         cmocka_unit_test_setup_teardown(cancellation_by_hint, setup, teardown),
