--- a/lib/plan.c
+++ b/lib/plan.c
@@ -146,7 +146,7 @@
         double age = (double)(r->now - d->at) / 1000, fade = exp(-age / (4 * boot));
         /* Arrivals come and tasks end about as often: what is left to cover is their spread. Of gangs some
          * surely end meanwhile; services run until somebody says so. */
-        double part = 1;
+        double part = d->last.kind == AMB_GANG ? 2.0 / 3 : 1;
         double count = n->opt.headroom * part * sqrt(d->rate * fade * boot * d->size2);
         const struct amb_claim claim = amb_round_claim(&d->last, amb_settings_team(&n->set, d->last.team));
         struct amb_wish w = {
