Rentals that can't be asked for yet stay in the plan and add up, the most urgent first

Every plan (two a second) put its wants at the head of a queue, so 45 calls for a few machines each were made, last come first served: 9 small machines wanted at 2.2 s were asked for at 20.3 s, and 1 small machine was up at 30 s, 51 at 50 s. Ruled out: capacity (no refusals of those), the state service's writes.

--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -198,6 +198,7 @@
 void amb_rental_tick(struct amb_node *n, amb_ms now);
 void amb_rental_load(struct amb_node *n, const char *key, const cbor_item_t *value);
 void amb_rental_want(struct amb_node *n, int type, int zone, bool spot, uint32_t count);
+uint32_t amb_rental_calls(struct amb_node *n, amb_ms now); /* how many wants can be asked for by now */
 void amb_rental_release(struct amb_node *n, struct amb_machine *m, const char *cause);
 void amb_rental_clear(struct amb_node *n);
 bool amb_rental_refused(const struct amb_node *n, int type, int zone, bool spot, amb_ms now);
--- a/include/amberpin/store.h
+++ b/include/amberpin/store.h
@@ -27,12 +27,14 @@
 void amb_txn_put(struct amb_txn *t, const char *key, const struct amb_buf *value, uint64_t lease);
 void amb_txn_remove(struct amb_txn *t, const char *key);
 
-struct amb_budget { /* a token bucket; holds one second's worth */
+struct amb_budget { /* a token bucket */
     double rate, tokens;
+    double seconds; /* that it holds the worth of; 0: one */
     amb_ms at;
 };
 void amb_budget_rate(struct amb_budget *b, double rate);
 void amb_budget_refill(struct amb_budget *b, amb_ms now);
+double amb_budget_most(const struct amb_budget *b);
 amb_ms amb_budget_wait(const struct amb_budget *b, double n); /* 0: enough tokens now */
 
 struct amb_store_op;
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -13,7 +13,14 @@
 struct plan {
     struct amb_round *r;
     uint32_t rent[AMB_TYPES][AMB_ZONES][2], rented;
-    struct amb_res extra[AMB_TEAMS]; /* planned for each team on top of what it uses */
+    uint32_t nkinds;
+    struct kind {
+        int type, zone;
+        bool spot;
+        enum amb_priority priority; /* of the first that wanted it */
+        double boot_s;
+    } kinds[AMB_TYPES * AMB_ZONES * 2]; /* of those to be rented */
+    struct amb_res extra[AMB_TEAMS];    /* planned for each team on top of what it uses */
 };
 
 static double fits_times(const struct amb_res *need, const struct amb_res *size) {
@@ -52,11 +59,22 @@
         }
     }
     if (bt < 0) return NULL;
-    p->rent[bt][bz][bs]++;
+    if (!p->rent[bt][bz][bs]++)
+        p->kinds[p->nkinds++] = (struct kind){bt, bz, bs, w->priority, n->catalog.types[bt].boot_s};
     p->rented++;
     return amb_round_add_type(r, bt, bz, bs);
 }
 
+/* What is to be asked for first when calls are few: for the most urgent work, and what takes longest to come.
+ */
+static int by_need(const void *a, const void *b) {
+    const struct kind *x = a, *y = b;
+    if (x->priority != y->priority) return x->priority > y->priority ? -1 : 1;
+    if (x->boot_s != y->boot_s) return x->boot_s > y->boot_s ? -1 : 1;
+    if (x->zone != y->zone) return x->zone < y->zone ? -1 : 1;
+    return (int)x->spot - (int)y->spot;
+}
+
 static bool within_plan(const struct plan *p, const struct amb_job *j, double times) {
     uint32_t team = (uint32_t)(j->team - p->r->n->set.teams);
     struct amb_team t = *j->team;
@@ -151,6 +169,8 @@
         const struct amb_claim claim = amb_round_claim(&d->last, amb_settings_team(&n->set, d->last.team));
         struct amb_wish w = {
             .need = d->last.each, .type_mask = mask, .zone = -1, .spot = d->last.spot, .zone_used = none};
+        /* Rented after what urgent work waits for, before what batch work does. */
+        w.priority = d->last.priority < AMB_NORMAL ? d->last.priority : AMB_NORMAL;
         for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < AMB_PLAN_TASKS; k++) {
             amb_round_mark(r, &d->last,
                            d->images[k % d->nimages]); /* a share of the room for each image asked for */
@@ -331,10 +351,12 @@
     plan_headroom(p);
     plan_returns(p);
     plan_emptying(p);
-    for (uint32_t t = 0; t < n->catalog.ntypes; t++)
-        for (uint32_t z = 0; z < n->catalog.nzones; z++)
-            for (int s = 0; s < 2; s++)
-                if (p->rent[t][z][s]) amb_rental_want(n, (int)t, (int)z, s, p->rent[t][z][s]);
+    qsort(p->kinds, p->nkinds, sizeof *p->kinds, by_need);
+    uint32_t calls = amb_rental_calls(n, r->now);
+    for (uint32_t i = 0; i < p->nkinds && i < calls; i++) {
+        const struct kind *k = &p->kinds[i];
+        amb_rental_want(n, k->type, k->zone, k->spot, p->rent[k->type][k->zone][k->spot]);
+    }
     free(p);
     drop_dead_boots(n, r->now);
 }
--- a/lib/rental.c
+++ b/lib/rental.c
@@ -1,6 +1,7 @@
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -31,12 +32,18 @@
     return amb_holds_lead(c->node) && c->node->election.term == c->term;
 }
 
-static bool take_token(struct amb_node *n, amb_ms now) {
+static void refill(struct amb_node *n, amb_ms now) {
     struct amb_rental *r = &n->rental;
     /* The leader makes nearly all calls; the others read the catalogue once. */
     double share = n->set.npeers ? (amb_leads(n) ? 0.8 : 0.2 / n->set.npeers) : 1.0;
+    r->calls.seconds = 2; /* the protocol: bursts worth two seconds are permitted */
     amb_budget_rate(&r->calls, n->set.cloud_rps * share);
     amb_budget_refill(&r->calls, now);
+}
+
+static bool take_token(struct amb_node *n, amb_ms now) {
+    struct amb_rental *r = &n->rental;
+    refill(n, now);
     if (now < r->held_until || amb_budget_wait(&r->calls, 1) > 0) return false;
     r->calls.tokens -= 1;
     return true;
@@ -106,6 +113,25 @@
     return call;
 }
 
+/* The longest waiting is asked for first. */
+static void charter_append(struct amb_rental *r, struct amb_charter *c) {
+    struct amb_charter **at = &r->charters;
+    while (*at) at = &(*at)->next;
+    c->next = NULL;
+    *at = c;
+}
+
+/* Calls are few: what is wanted beyond those that can be made now stays in the plan, where what is wanted of
+ * the same kind adds up until its turn comes. (At the start of a day it all stood in a queue, 25 calls for a
+ * machine or two each before the 9 that had been wanted first, 18 s late.) */
+uint32_t amb_rental_calls(struct amb_node *n, amb_ms now) {
+    refill(n, now);
+    double left = fmax(n->rental.calls.tokens, 1);
+    for (struct amb_charter *c = n->rental.charters; c; c = c->next)
+        if (c->state == AMB_CHARTER_RECORDING || (c->state == AMB_CHARTER_ASKING && !c->busy)) left -= 1;
+    return left > 0 ? (uint32_t)left : 0;
+}
+
 void amb_rental_want(struct amb_node *n, int type, int zone, bool spot, uint32_t count) {
     struct amb_rental *r = &n->rental;
     struct amb_charter *c = amb_alloc(sizeof *c);
@@ -117,8 +143,7 @@
     c->spot = spot;
     c->count = count > RENT_MAX ? RENT_MAX : count;
     c->node = n;
-    c->next = r->charters;
-    r->charters = c;
+    charter_append(r, c);
     amb_info("charter %s: wants %u %s in %s%s", c->id, c->count, n->catalog.types[type].name,
              n->catalog.zones[zone], spot ? ", spot" : "");
 }
@@ -263,8 +288,7 @@
     c->count = (uint32_t)count;
     c->node = n;
     c->state = AMB_CHARTER_ASKING; /* repeated: the answer names what an earlier leader rented */
-    c->next = n->rental.charters;
-    n->rental.charters = c;
+    charter_append(&n->rental, c);
 }
 
 bool amb_rental_refused(const struct amb_node *n, int type, int zone, bool spot, amb_ms now) {
--- a/lib/store.c
+++ b/lib/store.c
@@ -54,9 +54,13 @@
 
 /* ---- budget ---- */
 
+double amb_budget_most(const struct amb_budget *b) {
+    return fmax(b->rate * (b->seconds > 0 ? b->seconds : 1), 1.0);
+}
+
 void amb_budget_rate(struct amb_budget *b, double rate) {
     b->rate = rate;
-    if (b->tokens > fmax(rate, 1.0)) b->tokens = fmax(rate, 1.0);
+    b->tokens = fmin(b->tokens, amb_budget_most(b));
 }
 
 void amb_budget_refill(struct amb_budget *b, amb_ms now) {
@@ -64,13 +68,12 @@
     if (now <= b->at) return;
     b->tokens += b->rate * (double)(now - b->at) / 1000.0;
     b->at = now;
-    double most = fmax(b->rate, 1.0);
-    if (b->tokens > most) b->tokens = most;
+    b->tokens = fmin(b->tokens, amb_budget_most(b));
 }
 
 amb_ms amb_budget_wait(const struct amb_budget *b, double n) {
     /* More than the bucket can ever hold is let through once it is full. */
-    double need = fmin(n, fmax(b->rate, 1.0)) - b->tokens;
+    double need = fmin(n, amb_budget_most(b)) - b->tokens;
     return need <= 1e-9 ? 0 : (amb_ms)ceil(need / b->rate * 1000.0);
 }
 
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -428,6 +428,69 @@
     assert_true(team->used.gpus == 1 && m->used.gpus == 1);
 }
 
+static uint32_t charters(int *type) {
+    uint32_t n = 0;
+    for (const struct amb_charter *c = node->rental.charters; c; c = c->next, n++) *type = c->type;
+    return n;
+}
+
+static void plan_now(void) {
+    struct amb_round *r = amb_round_new(node, amb_now());
+    amb_plan(r);
+    amb_round_free(r);
+}
+
+/* No more is asked for than there are calls for, the most urgent first; the rest adds up in the plan. (All of
+ * it once stood in a queue, last come first served: 25 calls for a machine or two each, 18 s.) */
+static void rentals_add_up(void **state) {
+    (void)state;
+    static const struct {
+        double tokens;
+        int recording, asking, asked;
+        uint32_t calls;
+    } rows[] = {{0, 0, 0, 0, 1},   {3.5, 0, 0, 0, 3}, {3.5, 1, 1, 0, 1},
+                {3.5, 0, 0, 2, 3}, {0, 1, 0, 0, 0},   {2, 3, 3, 0, 0}};
+    struct amb_rental *r = &node->rental;
+    node->set.cloud_rps = 3;
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        r->calls = (struct amb_budget){.tokens = rows[i].tokens};
+        for (int k = 0; k < rows[i].recording + rows[i].asking + rows[i].asked; k++) {
+            amb_rental_want(node, 0, 0, false, 1);
+            struct amb_charter *c = r->charters;
+            while (c->next) c = c->next;
+            c->state = k < rows[i].recording ? AMB_CHARTER_RECORDING : AMB_CHARTER_ASKING;
+            c->busy = k >= rows[i].recording + rows[i].asking;
+        }
+        uint32_t calls = amb_rental_calls(node, amb_now());
+        amb_rental_clear(node);
+        if (calls != rows[i].calls) fail_msg("row %zu: %u calls", i, calls);
+    }
+    node->catalog.ntypes = 2;
+    for (int t = 0; t < 2; t++) {
+        struct amb_type *y = &node->catalog.types[t];
+        *y = (struct amb_type){.size = {96, 8, 576}, .price = 10, .boot_s = 50, .nzones = 1, .zones = {"a"}};
+        strcpy(y->name, t ? "g8" : "g4");
+    }
+    amb_catalog_zone(&node->catalog, "a");
+    struct amb_job *surge = add_job("wk-1", AMB_SERVICE, 9), *draft = add_job("wk-2", AMB_SERVICE, 1);
+    surge->spec->priority = AMB_HIGH;
+    draft->spec->priority = AMB_PROD;
+    surge->spec->ntypes = draft->spec->ntypes = 1;
+    strcpy(surge->spec->types[0], "g4");
+    strcpy(draft->spec->types[0], "g8");
+    int type = -1;
+    r->calls = (struct amb_budget){.tokens = 1};
+    plan_now();
+    assert_int_equal(charters(&type), 1);
+    assert_int_equal(type, 1);
+    r->charters->busy = true;
+    r->charters->state = AMB_CHARTER_ASKING;
+    plan_now();
+    assert_int_equal(charters(&type), 2);
+    assert_int_equal(type, 0);
+    assert_int_equal(r->charters->next->count, 2); /* nine tasks, eight to a machine */
+}
+
 /* What classes ask for is known whether this node led or not when it came, and in whatever order it heard. */
 static void demand_is_remembered(void **state) {
     (void)state;
@@ -779,6 +842,7 @@
         cmocka_unit_test_setup_teardown(records_are_read_back, setup, teardown),
         cmocka_unit_test_setup_teardown(unreachable_leader_yields, setup, teardown),
         cmocka_unit_test_setup_teardown(stale_placements, setup, teardown),
+        cmocka_unit_test_setup_teardown(rentals_add_up, setup, teardown),
         cmocka_unit_test_setup_teardown(demand_is_remembered, setup, teardown),
         cmocka_unit_test_setup_teardown(claims, setup, teardown),
         cmocka_unit_test_setup_teardown(leader_without_news, setup, teardown),
