Gangs of more than 256 tasks are planned too; rounds log how long they take

Gangs of more than 256 tasks were silently never planned for, so never got a machine that was not up by chance. Arrays are planned 256 tasks at a time, which only takes turns.

--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -248,7 +248,7 @@
     amb_ms at;
 };
 
-enum { AMB_DEMANDS = 32, AMB_PLAN_TASKS = 256 };
+enum { AMB_DEMANDS = 32 };
 
 struct amb_controller {
     bool loading, ready, load_synced, load_busy;
@@ -264,8 +264,6 @@
     amb_ms plan_at;
     struct amb_res peak; /* what jobs took and waited for lately, fading */
     amb_ms peak_at;
-    uint32_t nundo; /* zones counted for tasks that are only planned */
-    int undo[AMB_PLAN_TASKS];
 };
 
 void amb_controller_lead(struct amb_node *n);
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -18,15 +18,17 @@
     c->round_wanted = false;
     struct amb_round *r = amb_round_new(n, now);
     uint32_t started = amb_round_admit(r);
+    bool planned = now - c->plan_at >= amb_secs(n->set.report_s / 2);
+    if (planned) {
+        c->plan_at = now;
+        amb_plan(r);
+    }
     if (amb_log_on(AMB_DEBUG)) {
         double room = 0;
         for (uint32_t i = 0; i < r->nslots; i++) room += r->slots[i].room.gpus;
-        amb_debug("round: %u jobs waited, %u tasks or gangs placed, %u machines usable, %g GPUs left",
-                  r->njobs, started, r->nslots, room);
-    }
-    if (now - c->plan_at >= amb_secs(n->set.report_s / 2)) {
-        c->plan_at = now;
-        amb_plan(r);
+        amb_debug("round: %u jobs waited, %u tasks or gangs placed, %u machines, %g GPUs left, %lld ms%s",
+                  r->njobs, started, r->nslots, room, (long long)(amb_now() - now),
+                  planned ? " with a plan" : "");
     }
     amb_round_free(r);
     if (started) amb_record_pump(n);
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -10,6 +10,8 @@
 
 /* ---- what does not fit: wait for room that comes, make room, or rent ---- */
 
+enum { PLAN_TASKS = 256 }; /* of an array or a service, at a time */
+
 struct plan {
     struct amb_round *r;
     uint32_t rent[AMB_TYPES][AMB_ZONES][2], rented;
@@ -20,7 +22,9 @@
         enum amb_priority priority; /* of the first that wanted it */
         double boot_s;
     } kinds[AMB_TYPES * AMB_ZONES * 2]; /* of those to be rented */
-    struct amb_res extra[AMB_TEAMS];    /* planned for each team on top of what it uses */
+    uint32_t nzones;                    /* counted for tasks of the job at hand that are only planned */
+    int *zones;
+    struct amb_res extra[AMB_TEAMS]; /* planned for each team on top of what it uses */
 };
 
 static double fits_times(const struct amb_res *need, const struct amb_res *size) {
@@ -101,25 +105,26 @@
         s->planned++;
     }
     j->zone_used[s->zone]++;
-    r->n->ctl.undo[r->n->ctl.nundo++] = s->zone;
+    p->zones[p->nzones++] = s->zone;
 }
 
 static void plan_job(struct plan *p, struct amb_job *j) {
     struct amb_round *r = p->r;
-    struct amb_controller *ctl = &r->n->ctl;
     struct amb_wish w;
     bool done = false, patient = amb_round_can_wait(r->n, j);
     uint32_t left = amb_job_waiting(j), team = (uint32_t)(j->team - r->n->set.teams);
     amb_round_mark(r, j->spec, j->spec->image);
     amb_round_wish(r, j, &w);
-    ctl->nundo = 0;
-    if (left > AMB_PLAN_TASKS) left = AMB_PLAN_TASKS;
     if (j->spec->kind == AMB_GANG) {
-        if (!within_plan(p, j, j->spec->tasks) || j->spec->tasks > AMB_PLAN_TASKS) return;
-        int where[AMB_PLAN_TASKS];
+        if (!within_plan(p, j, j->spec->tasks)) return;
+        int *where = p->zones = amb_alloc(j->spec->tasks * sizeof *where);
+        p->nzones = 0;
         amb_res_add(&p->extra[team], &j->spec->each, j->spec->tasks);
         /* A place that has to boot is taken only when no running work can make way. */
-        if (amb_round_make_room_gang(r, j)) return;
+        if (amb_round_make_room_gang(r, j)) {
+            free(where);
+            return;
+        }
         if (amb_round_place_gang(r, j, where, true)) {
             for (uint32_t i = 0; i < j->spec->tasks; i++) {
                 struct amb_slot *s = &r->slots[where[i]];
@@ -127,20 +132,26 @@
                 s->planned++;
                 j->zone_used[r->slots[where[i]].zone]--;
             }
+            free(where);
             return;
         }
         /* In one zone: all of it goes where the first machine can be had. */
         for (uint32_t i = 0; i < j->spec->tasks && !done; i++) {
             plan_task(p, j, &w, j->spec->tasks, false, &done);
-            if (j->spec->one_zone && ctl->nundo) w.zone = ctl->undo[0];
+            if (j->spec->one_zone && p->nzones) w.zone = p->zones[0];
         }
     } else {
+        /* The rest of a larger job has its turn once these are on their machines. */
+        if (left > PLAN_TASKS) left = PLAN_TASKS;
+        p->zones = amb_alloc(left * sizeof *p->zones);
+        p->nzones = 0;
         for (; left && !done && within_plan(p, j, 1); left--) {
             plan_task(p, j, &w, left, patient, &done);
             amb_res_add(&p->extra[team], &j->spec->each, 1);
         }
     }
-    while (ctl->nundo) j->zone_used[ctl->undo[--ctl->nundo]]--;
+    while (p->nzones) j->zone_used[p->zones[--p->nzones]]--;
+    free(p->zones);
 }
 
 /* Free room kept for what a class of urgent jobs is expected to ask for while a machine would boot. */
@@ -171,7 +182,7 @@
             .need = d->last.each, .type_mask = mask, .zone = -1, .spot = d->last.spot, .zone_used = none};
         /* Rented after what urgent work waits for, before what batch work does. */
         w.priority = d->last.priority < AMB_NORMAL ? d->last.priority : AMB_NORMAL;
-        for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < AMB_PLAN_TASKS; k++) {
+        for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < PLAN_TASKS; k++) {
             amb_round_mark(r, &d->last,
                            d->images[k % d->nimages]); /* a share of the room for each image asked for */
             int at = amb_place_pick(&w, r->slots, r->nslots, true);
--- a/lib/rental.c
+++ b/lib/rental.c
@@ -67,7 +67,10 @@
         if (!amb_codec_type(amb_cbor_at(types, i), &t)) continue;
         int at = amb_catalog_type(&n->catalog, t.name);
         if (at < 0 && n->catalog.ntypes < AMB_TYPES) at = (int)n->catalog.ntypes++;
-        if (at < 0) continue;
+        if (at < 0) {
+            amb_error("the cloud offers more than %d types: %s is not used", AMB_TYPES, t.name);
+            continue;
+        }
         n->catalog.types[at] = t;
         for (uint32_t z = 0; z < t.nzones; z++) amb_catalog_zone(&n->catalog, t.zones[z]);
         n->rental.catalog_known = true;
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -489,6 +489,13 @@
     assert_int_equal(charters(&type), 2);
     assert_int_equal(type, 0);
     assert_int_equal(r->charters->next->count, 2); /* nine tasks, eight to a machine */
+    /* Gangs of any size are planned: those of more than 256 tasks once never got a machine. */
+    amb_rental_clear(node);
+    surge->state = draft->state = AMB_JOB_CANCELLED;
+    add_job("wk-3", AMB_GANG, 300);
+    plan_now();
+    assert_int_equal(charters(&type), 1);
+    assert_int_equal(r->charters->count, 19); /* half of 38: the other type costs the same */
 }
 
 /* What classes ask for is known whether this node led or not when it came, and in whatever order it heard. */
