--- a/lib/plan.c
+++ b/lib/plan.c
@@ -173,8 +173,6 @@
             boot = fmax(boot, n->catalog.types[t].boot_s);
         }
         double age = (double)(r->now - d->at) / 1000, fade = exp(-age / (4 * boot));
-        /* When several that were due have not come, it is likelier that no more will. */
-        fade *= exp(-fmax(0, age * d->rate - 4) / 2);
         /* Arrivals come and tasks end about as often: what is left to cover is their spread. Of gangs some
          * surely end meanwhile; services run until somebody says so. */
         double part = d->last.kind == AMB_GANG ? 2.0 / 3 : 1;
