--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -33,6 +33,8 @@
     bool can_wait; /* and it will be done in time all the same */
 };
 
+/* What is free on it; with soon, what is about to be, too. */
+struct amb_res amb_place_room(const struct amb_slot *s, bool soon);
 bool amb_place_allowed(const struct amb_wish *w, const struct amb_slot *s);
 /* Best of the slots that can take it, or -1. With soon, room that is about to come counts too. */
 int amb_place_pick(const struct amb_wish *w, const struct amb_slot *slots, uint32_t n, bool soon);
--- a/include/amberpin/wdrr.h
+++ b/include/amberpin/wdrr.h
@@ -24,6 +24,7 @@
 };
 
 double amb_wdrr_size(const struct amb_res *need, bool by_gpus);
+bool amb_wdrr_by_gpus(const struct amb_team *teams, uint32_t n); /* does any guarantee name GPUs? */
 void amb_wdrr_prepare(struct amb_team *teams, uint32_t n,
                       bool by_gpus); /* weights, full buckets, no deficit */
 void amb_wdrr_refill(struct amb_team *teams, uint32_t n, double seconds);
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -119,9 +119,7 @@
     c->load_after[0] = 0;
     c->load_term = n->election.term;
     c->round_at = c->plan_at = c->peak_at = 0;
-    bool by_gpus = false;
-    for (uint32_t i = 0; i < n->set.nteams; i++) by_gpus |= n->set.teams[i].guarantee.gpus > 0;
-    amb_wdrr_prepare(n->set.teams, n->set.nteams, by_gpus);
+    amb_wdrr_prepare(n->set.teams, n->set.nteams, amb_wdrr_by_gpus(n->set.teams, n->set.nteams));
     for (uint32_t i = 0; i < n->set.nteams; i++)
         memset(&n->set.teams[i].used, 0, sizeof n->set.teams[i].used);
 }
--- a/lib/place.c
+++ b/lib/place.c
@@ -71,6 +71,12 @@
     return w->patient && s->kept_for >= 0 && (int)w->priority >= s->kept_for;
 }
 
+struct amb_res amb_place_room(const struct amb_slot *s, bool soon) {
+    struct amb_res room = s->room;
+    if (soon) amb_res_add(&room, &s->soon, 1);
+    return room;
+}
+
 bool amb_place_allowed(const struct amb_wish *w, const struct amb_slot *s) {
     if (!s->usable || s->type < 0 || s->zone < 0) return false;
     if (!(w->type_mask >> s->type & 1)) return false;
@@ -87,8 +93,7 @@
     for (uint32_t i = 0; i < n; i++) {
         const struct amb_slot *s = &slots[i];
         if (!amb_place_allowed(w, s)) continue;
-        struct amb_res room = s->room;
-        if (soon) amb_res_add(&room, &s->soon, 1);
+        const struct amb_res room = amb_place_room(s, soon);
         if (!amb_res_fits(&w->need, &room)) continue;
         /* An image at hand, or soon fetched, first: fetching takes longer than most tasks may wait. Then spot
          * machines, which only some jobs can use. Then the fullest, so that others empty and can be returned.
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -35,6 +35,12 @@
     return n;
 }
 
+static double longest_boot(const struct amb_node *n) {
+    double boot = 0;
+    for (uint32_t t = 0; t < n->catalog.ntypes; t++) boot = fmax(boot, n->catalog.types[t].boot_s);
+    return boot;
+}
+
 /* The cheapest machine per task that could be rented for the wish; most: tasks of this shape that wait. */
 static struct amb_slot *rent_for(struct plan *p, const struct amb_wish *w, uint32_t most, bool spread_even) {
     struct amb_round *r = p->r;
@@ -191,8 +197,7 @@
             for (uint32_t q = 0; (!s || !s->has_image) && q < r->nslots; q++) {
                 struct amb_slot *c = &r->slots[q];
                 if (!c->machine || !amb_place_allowed(&w, c) || (s && !c->has_image)) continue;
-                struct amb_res room = c->room;
-                amb_res_add(&room, &c->soon, 1);
+                struct amb_res room = amb_place_room(c, true);
                 for (struct amb_task *t = c->machine->tasks; t; t = t->next)
                     if (amb_round_makes_way(t, &claim)) amb_res_add(&room, &t->job->spec->each, 1);
                 if (amb_res_fits(&w.need, &room)) s = c;
@@ -269,13 +274,11 @@
     struct amb_node *n = r->n;
     struct amb_controller *c = &n->ctl;
     struct amb_res now = {0, 0, 0};
-    double boot = 0;
     for (uint32_t i = 0; i < n->set.nteams; i++) {
         amb_res_add(&now, &n->set.teams[i].used, 1);
         amb_res_add(&now, &p->extra[i], 1); /* what waits and may start */
     }
-    for (uint32_t t = 0; t < n->catalog.ntypes; t++) boot = fmax(boot, n->catalog.types[t].boot_s);
-    double keep = c->peak_at ? exp(-(double)(r->now - c->peak_at) / 1000 / (1.5 * boot + 1)) : 0;
+    double keep = c->peak_at ? exp(-(double)(r->now - c->peak_at) / 1000 / (1.5 * longest_boot(n) + 1)) : 0;
     c->peak.cpus = fade(c->peak.cpus, now.cpus, keep);
     c->peak.gpus = fade(c->peak.gpus, now.gpus, keep);
     c->peak.memory = fade(c->peak.memory, now.memory, keep);
@@ -396,9 +399,7 @@
         strcpy(d->class_name, s->class_name);
         d->at = at;
     }
-    double boot = 0;
-    for (uint32_t t = 0; t < n->catalog.ntypes; t++) boot = fmax(boot, n->catalog.types[t].boot_s);
-    double tau = fmax(4 * boot, n->set.lease_s);
+    double tau = fmax(4 * longest_boot(n), n->set.lease_s);
     double since = (double)(at - d->at) / 1000; /* negative: an earlier job that was heard of later */
     if (since >= 0) {
         d->rate = d->rate * exp(-since / tau) + 1 / tau; /* jobs a second */
--- a/lib/round.c
+++ b/lib/round.c
@@ -129,7 +129,7 @@
     struct amb_round *r = amb_alloc(sizeof *r);
     r->n = n;
     r->now = now;
-    for (uint32_t i = 0; i < n->set.nteams; i++) r->by_gpus |= n->set.teams[i].guarantee.gpus > 0;
+    r->by_gpus = amb_wdrr_by_gpus(n->set.teams, n->set.nteams);
     look_at_machines(r, false);
     look_at_jobs(r);
     return r;
@@ -264,55 +264,6 @@
     return NULL;
 }
 
-/* Puts every task of a gang somewhere, or none: where[i] is the slot of task i. Room and zone counts are
- * left as they would be; undo with place_undo. */
-static uint32_t place_all(struct amb_round *r, struct amb_job *j, struct amb_wish *w, int *where, bool soon) {
-    uint32_t i = 0;
-    for (; i < j->spec->tasks; i++) {
-        where[i] = amb_place_pick(w, r->slots, r->nslots, soon);
-        if (where[i] < 0) break;
-        amb_res_add(&r->slots[where[i]].room, &j->spec->each, -1);
-        j->zone_used[r->slots[where[i]].zone]++;
-    }
-    return i;
-}
-
-static void place_undo(struct amb_round *r, struct amb_job *j, const int *where, uint32_t count) {
-    for (uint32_t i = 0; i < count; i++) {
-        amb_res_add(&r->slots[where[i]].room, &j->spec->each, 1);
-        j->zone_used[r->slots[where[i]].zone]--;
-    }
-}
-
-/* Tries zone after zone when the job binds itself to one. Leaves the slots taken on success. */
-bool amb_round_place_gang(struct amb_round *r, struct amb_job *j, int *where, bool soon) {
-    struct amb_wish w;
-    amb_round_wish(r, j, &w);
-    int only = w.zone;
-    uint32_t tries = j->spec->one_zone && only < 0 ? r->n->catalog.nzones : 1;
-    for (uint32_t z = 0; z < tries; z++) {
-        if (tries > 1 || (j->spec->one_zone && only < 0)) w.zone = (int)z;
-        uint32_t got = place_all(r, j, &w, where, soon);
-        if (got == j->spec->tasks) return true;
-        place_undo(r, j, where, got);
-    }
-    return false;
-}
-
-static bool admit_gang(struct amb_round *r, struct amb_job *j) {
-    int *where = amb_alloc(j->spec->tasks * sizeof *where);
-    bool fits = amb_round_place_gang(r, j, where, false);
-    if (fits) {
-        place_undo(r, j, where, j->spec->tasks); /* binding counts them again */
-        uint64_t attempt = j->next_attempt++;
-        for (uint32_t i = 0; i < j->spec->tasks; i++)
-            start_task(r, &j->tasks[i], &r->slots[where[i]], attempt);
-        amb_gang_state(j, AMB_GANG_STARTING, "placed");
-    }
-    free(where);
-    return fits;
-}
-
 struct amb_claim amb_round_claim(const struct amb_spec *s, const struct amb_team *team) {
     struct amb_res need = {0, 0, 0};
     amb_res_add(&need, &s->each, s->kind == AMB_GANG ? s->tasks : 1);
@@ -342,8 +293,7 @@
         struct amb_slot *s = &r->slots[i];
         if (!s->machine || s->machine->state != AMB_MACHINE_UP || !amb_place_allowed(w, s)) continue;
         if (image_only && !s->has_image) continue;
-        struct amb_res room = s->room;
-        amb_res_add(&room, &s->soon, 1);
+        struct amb_res room = amb_place_room(s, true);
         double lost = s->has_image ? 0 : 1000;
         for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&w->need, &room); t = t->next) {
             if (!amb_round_makes_way(t, claim)) continue;
@@ -358,6 +308,61 @@
     return best;
 }
 
+/* Puts every task of a gang somewhere, or none: where[i] is the slot of task i. With a claim, work that makes
+ * way for it counts as room. Room and zone counts are left as they would be; undo with place_undo. */
+static uint32_t place_all(struct amb_round *r, struct amb_job *j, struct amb_wish *w, int *where, bool soon,
+                          const struct amb_claim *claim) {
+    uint32_t i = 0;
+    for (; i < j->spec->tasks; i++) {
+        where[i] = claim ? least_lost(r, w, claim, false) : amb_place_pick(w, r->slots, r->nslots, soon);
+        if (where[i] < 0) break;
+        amb_res_add(&r->slots[where[i]].room, &j->spec->each, -1);
+        j->zone_used[r->slots[where[i]].zone]++;
+    }
+    return i;
+}
+
+static void place_undo(struct amb_round *r, struct amb_job *j, const int *where, uint32_t count) {
+    for (uint32_t i = 0; i < count; i++) {
+        amb_res_add(&r->slots[where[i]].room, &j->spec->each, 1);
+        j->zone_used[r->slots[where[i]].zone]--;
+    }
+}
+
+/* Tries zone after zone when the job binds itself to one. Leaves the slots taken on success. */
+static bool place_gang(struct amb_round *r, struct amb_job *j, int *where, bool soon,
+                       const struct amb_claim *claim) {
+    struct amb_wish w;
+    amb_round_wish(r, j, &w);
+    bool any_one = j->spec->one_zone && w.zone < 0;
+    uint32_t tries = any_one ? r->n->catalog.nzones : 1;
+    for (uint32_t z = 0; z < tries; z++) {
+        if (any_one) w.zone = (int)z;
+        uint32_t got = place_all(r, j, &w, where, soon, claim);
+        if (got == j->spec->tasks) return true;
+        place_undo(r, j, where, got);
+    }
+    return false;
+}
+
+bool amb_round_place_gang(struct amb_round *r, struct amb_job *j, int *where, bool soon) {
+    return place_gang(r, j, where, soon, NULL);
+}
+
+static bool admit_gang(struct amb_round *r, struct amb_job *j) {
+    int *where = amb_alloc(j->spec->tasks * sizeof *where);
+    bool fits = amb_round_place_gang(r, j, where, false);
+    if (fits) {
+        place_undo(r, j, where, j->spec->tasks); /* binding counts them again */
+        uint64_t attempt = j->next_attempt++;
+        for (uint32_t i = 0; i < j->spec->tasks; i++)
+            start_task(r, &j->tasks[i], &r->slots[where[i]], attempt);
+        amb_gang_state(j, AMB_GANG_STARTING, "placed");
+    }
+    free(where);
+    return fits;
+}
+
 /* Time to save is left to what is stopped, unless somebody waits for the start and the progress since its
  * last checkpoint (half an interval, on the average) is worth little more than the time that saving takes. */
 static double grace_for(const struct amb_round *r, const struct amb_spec *stopped,
@@ -371,8 +376,7 @@
 static void clear_way(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
                       const struct amb_spec *waits) {
     static const struct amb_res nothing = {0, 0, 0};
-    struct amb_res room = s->room;
-    amb_res_add(&room, &s->soon, 1);
+    struct amb_res room = amb_place_room(s, true);
     for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&nothing, &room); t = t->next) {
         if (!amb_round_makes_way(t, claim)) continue;
         amb_res_add(&room, &t->job->spec->each, 1);
@@ -401,25 +405,11 @@
 bool amb_round_make_room_gang(struct amb_round *r, struct amb_job *j) {
     const struct amb_claim claim = amb_round_claim(j->spec, j->team);
     if (r->n->opt.preempt < 0.5 || (j->spec->priority < AMB_HIGH && !claim.guaranteed)) return false;
-    struct amb_wish w;
-    amb_round_wish(r, j, &w);
-    int only = w.zone, *where = amb_alloc(j->spec->tasks * sizeof *where);
-    uint32_t tries = j->spec->one_zone && only < 0 ? r->n->catalog.nzones : 1, got = 0;
-    for (uint32_t z = 0; z < tries && got < j->spec->tasks; z++) {
-        if (tries > 1) w.zone = (int)z;
-        for (got = 0; got < j->spec->tasks; got++) {
-            where[got] = least_lost(r, &w, &claim, false);
-            if (where[got] < 0) break;
-            amb_res_add(&r->slots[where[got]].room, &w.need, -1);
-            j->zone_used[r->slots[where[got]].zone]++;
-        }
-        for (uint32_t i = 0; i < got; i++) j->zone_used[r->slots[where[i]].zone]--;
-        for (uint32_t i = 0; got < j->spec->tasks && i < got; i++)
-            amb_res_add(&r->slots[where[i]].room, &w.need, 1);
-    }
-    bool all = got == j->spec->tasks;
-    for (uint32_t i = 0; all && i < got; i++) {
+    int *where = amb_alloc(j->spec->tasks * sizeof *where);
+    bool all = place_gang(r, j, where, true, &claim);
+    for (uint32_t i = 0; all && i < j->spec->tasks; i++) {
         struct amb_slot *s = &r->slots[where[i]];
+        j->zone_used[s->zone]--;
         clear_way(r, s, &claim, j->spec);
         s->planned++;
         s->machine->kept_for = (int)j->spec->priority;
@@ -441,10 +431,9 @@
 /* Is room on a machine with the image about to come? */
 static bool promised(const struct amb_round *r, const struct amb_wish *w) {
     for (uint32_t i = 0; i < r->nslots; i++) {
-        struct amb_res room = r->slots[i].room;
-        amb_res_add(&room, &r->slots[i].soon, 1);
-        if (r->slots[i].has_image && amb_place_allowed(w, &r->slots[i]) && amb_res_fits(&w->need, &room))
-            return true;
+        const struct amb_slot *s = &r->slots[i];
+        const struct amb_res room = amb_place_room(s, true);
+        if (s->has_image && amb_place_allowed(w, s) && amb_res_fits(&w->need, &room)) return true;
     }
     return false;
 }
--- a/lib/wdrr.c
+++ b/lib/wdrr.c
@@ -10,6 +10,12 @@
     return size > 0 ? size : 1;
 }
 
+bool amb_wdrr_by_gpus(const struct amb_team *teams, uint32_t n) {
+    for (uint32_t i = 0; i < n; i++)
+        if (teams[i].guarantee.gpus > 0) return true;
+    return false;
+}
+
 void amb_wdrr_prepare(struct amb_team *teams, uint32_t n, bool by_gpus) {
     for (uint32_t i = 0; i < n; i++) {
         struct amb_team *t = &teams[i];
