The leader's turns follow the shortest start aim where reports are slow

Cause: with reports every 4 s the leader planned every 2 s, ticked every 0.4 s and waited 0.2 s before a round, all being ratios to the report period, while convenio-judge is to start within 10 s.

--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -258,6 +258,7 @@
     uint64_t load_term;
     bool round_wanted;
     uint32_t turn; /* whose turn comes first */
+    double beat_s; /* what the leader's turns are measured in (amb_settings_beat) */
     struct amb_timer timer, round_timer;
     uint32_t ndemands;
     struct amb_demand demands[AMB_DEMANDS];
--- a/include/amberpin/settings.h
+++ b/include/amberpin/settings.h
@@ -30,6 +30,9 @@
 };
 
 struct amb_team *amb_settings_team(struct amb_settings *s, const char *name); /* NULL: no such team */
+/* Seconds that the leader's own turns are measured in: the report period, unless work is to start so soon
+ * that waiting for turns of that length would use up much of its time. */
+double amb_settings_beat(const struct amb_settings *s);
 /* False: err holds one line that names file and field. */
 bool amb_settings_load(const char *path, struct amb_settings *s, char *err, size_t cap);
 
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -135,6 +135,16 @@
     return NULL;
 }
 
+/* Reports every 4 s and starts that are aimed at within 10 s: planning every half report, a round a twentieth
+ * and a tick a tenth of one later took 1 to 4 s of those 10 (fleet deployments). */
+double amb_settings_beat(const struct amb_settings *s) {
+    double beat = s->report_s;
+    for (uint32_t i = 0; i < s->nobjectives; i++)
+        if (!strcmp(s->objectives[i].kind, "wait") && s->objectives[i].within_s > 0)
+            beat = fmin(beat, s->objectives[i].within_s / 10);
+    return fmax(beat, s->report_s / 4); /* turns cost processor time */
+}
+
 bool amb_settings_load(const char *path, struct amb_settings *s, char *err, size_t cap) {
     memset(s, 0, sizeof *s);
     struct reader r = {.s = s, .file = path, .err = err, .cap = cap};
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -37,6 +37,29 @@
     assert_string_equal(s.objectives[0].class_name, "train");
 }
 
+/* Starts aimed at sooner than reports allow for once waited for the leader's own turns. */
+static void beat_follows_the_shortest_start(void **state) {
+    (void)state;
+    static const struct {
+        double report_s, within_s[2], want;
+    } rows[] = {
+        {1, {0, 0}, 1},   {1, {12, 30}, 1},     {4, {40, 10}, 1},
+        {4, {40, 80}, 4}, {2.5, {25, 50}, 2.5}, {4, {1, 0}, 1},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        static struct amb_settings s;
+        memset(&s, 0, sizeof s);
+        s.report_s = rows[i].report_s;
+        for (size_t k = 0; k < 2 && rows[i].within_s[k] > 0; k++) {
+            struct amb_objective *o = &s.objectives[s.nobjectives++];
+            strcpy(o->kind, "wait");
+            o->within_s = rows[i].within_s[k];
+        }
+        strcpy(s.objectives[s.nobjectives++].kind, "guarantee"); /* no start's aim */
+        if (amb_settings_beat(&s) != rows[i].want) fail_msg("row %zu: %g", i, amb_settings_beat(&s));
+    }
+}
+
 static void bad_settings_are_named(void **state) {
     (void)state;
     static const struct {
@@ -110,6 +133,7 @@
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(good_settings_load),
+        cmocka_unit_test(beat_follows_the_shortest_start),
         cmocka_unit_test(bad_settings_are_named),
         cmocka_unit_test(options),
     };
