--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -137,6 +137,12 @@
 
 /* ---- fleet: machines, reports, orders ---- */
 
+enum amb_sight { /* what the leader hears of a zone's machines */
+                 AMB_ZONE_HEARD,
+                 AMB_ZONE_DIM,  /* a good part of them is silent */
+                 AMB_ZONE_DARK, /* nearly all are, and not all zones' */
+};
+
 struct amb_fleet {
     struct amb_machine *all;
     struct amb_gone {
@@ -144,9 +150,11 @@
         UT_hash_handle hh;
     } * gone; /* names are never used again: late copies of their reports mean nothing */
     uint64_t marks;
+    enum amb_sight sight[AMB_ZONES];
     amb_ms knocked_at; /* when a worker last reported to this node, whatever it was told */
 };
 
+bool amb_fleet_dark(const struct amb_node *n, int zone);
 /* Have nearly all machines shown our token, so that there is little left to learn? */
 bool amb_fleet_learned(const struct amb_node *n);
 bool amb_fleet_request(struct amb_node *n, struct amb_http_req *req);
@@ -211,8 +219,10 @@
 struct amb_peer {
     char member[AMB_NAME], addr[AMB_NAME];
     amb_ms heard_at, confirmed_at; /* any word; word that it does not lead and knows no higher term */
-    uint64_t term, born;           /* born: tells its incarnations apart */
-    amb_ms born_at;                /* when this one was first heard */
+    uint64_t quiet_term;           /* the last term of ours that it has heeded, and since when */
+    amb_ms quiet_at;
+    uint64_t term, born; /* born: tells its incarnations apart */
+    amb_ms born_at;      /* when this one was first heard */
     bool leading, store_ok, knocked, busy;
     amb_ms sent_at;
     struct amb_node *node;
@@ -234,6 +244,8 @@
 bool amb_peer_better_placed(const struct amb_node *n, amb_ms now);
 amb_ms amb_peer_confirmed(const struct amb_node *n,
                           amb_ms now); /* since when all peers last confirmed our lead */
+/* Since when no other node can have answered a machine under an older term than ours; 0: one still might. */
+amb_ms amb_peer_quiet(const struct amb_node *n);
 void amb_peer_recall_images(struct amb_node *n, struct amb_machine *m); /* for a machine new to this node */
 bool amb_peer_store_ok(const struct amb_node *n, amb_ms now);
 
--- a/lib/deputy.c
+++ b/lib/deputy.c
@@ -117,7 +117,8 @@
 }
 
 bool amb_deputy_answers(const struct amb_node *n, const struct amb_report *r) {
-    return n->deputy.state == AMB_DEPUTY_ACTIVE && sure(n, amb_now()) && !strcmp(r->zone, n->set.zone) &&
+    return n->deputy.state == AMB_DEPUTY_ACTIVE && sure(n, amb_now()) &&
+           n->election.highest <= n->deputy.term && !strcmp(r->zone, n->set.zone) &&
            r->token <= n->deputy.term;
 }
 
--- a/lib/election.c
+++ b/lib/election.c
@@ -80,6 +80,12 @@
 
 static void win(struct amb_node *n, uint64_t stamp) {
     struct amb_election *e = &n->election;
+    /* The answer may come late, when another leads: whoever has told it that it knows of a newer term must
+     * not answer machines under an older one (amb_peer_quiet). */
+    if (stamp < e->highest) {
+        resign(n, "the claim is older than a term that is known");
+        return;
+    }
     e->term = stamp;
     if (stamp > e->highest) e->highest = stamp;
     strcpy(e->holder, n->set.member);
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -85,6 +85,7 @@
         HASH_DEL(n->fleet.all, m);
         free(m);
     }
+    memset(n->fleet.sight, 0, sizeof n->fleet.sight);
 }
 
 bool amb_machine_has_image(const struct amb_machine *m, const char *image) {
@@ -578,6 +579,12 @@
  * came too late to renew it. */
 static bool lease_over(struct amb_node *n, const struct amb_machine *m, amb_ms now) {
     amb_ms from = m->answered_at;
+    if (!m->token_shown) {
+        /* Others may have answered it under an older term, until all of them had heard of ours. */
+        amb_ms quiet = amb_peer_quiet(n);
+        if (!quiet) return false;
+        if (quiet > from) from = quiet;
+    }
     if (m->zone >= 0 && n->deputy.zone_at[m->zone] > from) from = n->deputy.zone_at[m->zone];
     if (now - from <= lease_span(n)) return false;
     if (n->jobs.fresh_sent_at > from + lease_span(n)) return true;
@@ -585,15 +592,44 @@
     return false;
 }
 
-static bool most_silent(const struct amb_node *n, const struct amb_machine *one, amb_ms now) {
-    uint32_t all = 0, silent = 0;
-    const struct amb_machine *m;
-    for (m = n->fleet.all; m; m = m->hh.next) {
-        if (m->zone != one->zone || m->state == AMB_MACHINE_BOOTING) continue;
-        all++;
-        silent += now - m->reported_at > amb_secs(n->set.report_s * 3);
+static void zone_sight(struct amb_node *n, uint32_t zone, enum amb_sight to, uint32_t silent, uint32_t all) {
+    static const char *const names[] = {"heard", "dim", "dark"};
+    if (n->fleet.sight[zone] == to) return;
+    amb_info("zone %s: %s -> %s: %u of %u machines silent", n->catalog.zones[zone],
+             names[n->fleet.sight[zone]], names[to], silent, all);
+    n->fleet.sight[zone] = to;
+}
+
+/* When a good part of a zone falls silent together it is the network; when nearly all does, what boots there
+ * can't be reached either. */
+static void look_at_zones(struct amb_node *n, amb_ms now) {
+    uint32_t all[AMB_ZONES] = {0}, silent[AMB_ZONES] = {0}, dark = 0;
+    enum amb_sight sight[AMB_ZONES];
+    amb_ms patience = amb_secs(n->set.report_s * 3);
+    for (const struct amb_machine *m = n->fleet.all; m; m = m->hh.next) {
+        if (m->zone < 0 || m->type < 0) continue;
+        double boot = n->catalog.types[m->type].boot_s;
+        if (m->state == AMB_MACHINE_BOOTING && now - m->first_at < amb_secs(boot * 2)) continue;
+        all[m->zone]++;
+        silent[m->zone] += now - m->reported_at > patience;
     }
-    return silent * 3 > all && silent > 2;
+    bool learning = now - n->ctl.leading_since <= patience; /* a new leader has heard nobody yet */
+    for (uint32_t z = 0; z < AMB_ZONES; z++) {
+        bool some = silent[z] > 2 && !learning;
+        sight[z] = some && silent[z] * 10 >= all[z] * 9 ? AMB_ZONE_DARK
+                   : some && silent[z] * 3 > all[z]     ? AMB_ZONE_DIM
+                                                        : AMB_ZONE_HEARD;
+        dark += sight[z] == AMB_ZONE_DARK;
+    }
+    for (uint32_t z = 0; z < AMB_ZONES; z++) {
+        /* Nobody heard from anywhere shows nothing of any zone. */
+        if (dark == n->catalog.nzones && sight[z] == AMB_ZONE_DARK) sight[z] = AMB_ZONE_DIM;
+        zone_sight(n, z, sight[z], silent[z], all[z]);
+    }
+}
+
+bool amb_fleet_dark(const struct amb_node *n, int zone) {
+    return zone >= 0 && n->fleet.sight[zone] == AMB_ZONE_DARK;
 }
 
 static void tick_machine(struct amb_node *n, struct amb_machine *m, amb_ms now) {
@@ -605,13 +641,18 @@
         /* It can take answers from nobody else once it has shown our token, and its lease has run out. */
         amb_machine_state(m, AMB_MACHINE_SILENT, "its lease has run out");
     }
+    /* A leader was elected seconds before a zone was cut off: none of the zone's machines had shown its
+     * token, and their tasks were not started elsewhere until the machines were returned, 99 s later. */
+    if (m->state == AMB_MACHINE_UNPROVEN && lease_over(n, m, now))
+        amb_machine_state(m, AMB_MACHINE_SILENT, "nobody can have answered it for a lease");
     if (m->state == AMB_MACHINE_SILENT && m->tasks && lease_over(n, m, now))
         lose_tasks(n, m, "its lease has run out");
-    /* When a good part of a zone falls silent together it is the network, and the machines come back: a new
-     * one takes longer to boot and to fetch its images than most cuts last. */
-    double patience = most_silent(n, m, now) ? 3 : 1;
+    /* When it is the network the machines come back: a new one takes longer to boot and to fetch its images
+     * than most cuts last. */
+    double patience = m->zone >= 0 && n->fleet.sight[m->zone] != AMB_ZONE_HEARD ? 3 : 1;
     if (m->state == AMB_MACHINE_SILENT && !covered &&
-        now - m->answered_at > amb_secs(n->set.lease_s * n->opt.silent_release * patience))
+        now - (m->token_shown ? m->answered_at : n->ctl.leading_since) >
+            amb_secs(n->set.lease_s * n->opt.silent_release * patience))
         amb_rental_release(n, m, "silent for too long");
     if (m->state == AMB_MACHINE_UNPROVEN && now - m->reported_at > amb_secs(n->set.report_s * 2) &&
         since > amb_secs(n->set.report_s * 2)) {
@@ -652,5 +693,6 @@
 void amb_fleet_tick(struct amb_node *n, amb_ms now) {
     struct amb_machine *m, *next;
     if (!n->ctl.loaded_at) return;
+    look_at_zones(n, now);
     HASH_ITER(hh, n->fleet.all, m, next) tick_machine(n, m, now);
 }
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -30,6 +30,18 @@
     return oldest;
 }
 
+/* A node that knows our term and does not lead answers no report under an older one, nor can it ever again:
+ * it would have to be elected, under a newer. */
+amb_ms amb_peer_quiet(const struct amb_node *n) {
+    amb_ms since = n->ctl.leading_since;
+    for (uint32_t i = 0; i < n->peers.count; i++) {
+        const struct amb_peer *p = &n->peers.list[i];
+        if (p->quiet_term != n->election.term) return 0;
+        if (p->quiet_at > since) since = p->quiet_at;
+    }
+    return since;
+}
+
 static amb_ms patience(const struct amb_node *n) {
     return (amb_ms)(n->set.report_s * 3000);
 }
@@ -96,6 +108,10 @@
     p->knocked = knocked;
     /* Only an answer to our own question can confirm: a message that came late is as old as it is. */
     if (sent_at && amb_holds_lead(n) && !leading && p->term <= n->election.term) p->confirmed_at = sent_at;
+    if (sent_at && amb_holds_lead(n) && !leading && p->term == n->election.term && p->quiet_term != p->term) {
+        p->quiet_term = p->term;
+        p->quiet_at = p->heard_at;
+    }
     amb_election_saw_term(n, p->term, p->member);
 }
 
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -244,6 +244,7 @@
         {TERM - 1, 11000, 11000, -1, false}, {TERM, 11000, 9000, -1, false},   {TERM, 11000, -1, -1, false},
         {TERM, 11000, 11000, 5000, false},   {TERM, 16000, 16000, 5000, true},
     };
+    node->peers.count = 1; /* which has not heeded our term: it may answer whoever has not shown our token */
     for (size_t i = 0; i < ROWS(rows); i++) {
         struct amb_job *j = add_job(i ? (char[]){'w', 'k', '-', (char)('0' + i), 0} : "wk-0", AMB_SERVICE, 1);
         char name[16];
@@ -865,6 +866,84 @@
     }
 }
 
+/* A machine that never showed our token is proven to have lost its tasks once no other node can have answered
+ * it for a lease: else they once waited for it to be returned. */
+static void unproven_machine_on_every_peers_word(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        amb_ms quiet, answered, news; /* how long ago */
+        uint64_t heeds;               /* the term that the peer has heeded */
+        bool lost;
+    } rows[] = {
+        {"for longer than a lease", 12000, 90000, 500, TERM, true},
+        {"not for a lease yet", 9000, 90000, 500, TERM, false},
+        {"a peer knows an older term only", 12000, 90000, 500, TERM - 1, false},
+        {"we have answered it since", 12000, 5000, 500, TERM, false},
+        {"news are older than the lease's end", 12000, 90000, 3000, TERM, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        teardown(NULL);
+        setup(NULL);
+        amb_ms now = amb_now() + 1000000;
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        struct amb_task *t = bound(j, 0, "m-1", 1);
+        struct amb_machine *m = amb_machine_get(node, "m-1", false);
+        m->type = m->zone = 0;
+        m->known_at = m->first_at = now - 20000;
+        m->answered_at = now - rows[i].answered;
+        node->ctl.leading_since = now - 20000;
+        node->jobs.fresh_sent_at = now - rows[i].news;
+        node->jobs.syncing = true; /* no call goes out */
+        node->peers.count = 1;
+        node->peers.list[0].quiet_term = rows[i].heeds;
+        node->peers.list[0].quiet_at = now - rows[i].quiet;
+        amb_fleet_tick(node, now);
+        if ((t->state == AMB_TASK_WAITING) != rows[i].lost) fail_msg("%s", rows[i].what);
+    }
+}
+
+/* Machines that boot beyond a cut are neither waited for nor rented there; a zone where many have died still
+ * has its place in the plan. */
+static void dark_zones(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        uint32_t heard_a, silent_a, heard_b, silent_b;
+        amb_ms leading;
+        bool dark;
+    } rows[] = {
+        {"all heard", 10, 0, 10, 0, 60000, false},
+        {"nearly all silent", 10, 0, 1, 9, 60000, true},
+        {"half have died", 10, 0, 10, 10, 60000, false},
+        {"two machines are no zone", 10, 0, 0, 2, 60000, false},
+        {"nobody is heard anywhere", 0, 10, 0, 10, 60000, false},
+        {"a new leader has heard nobody yet", 10, 0, 0, 10, 2000, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        teardown(NULL);
+        setup(NULL);
+        amb_ms now = amb_now() + 1000000;
+        amb_catalog_zone(&node->catalog, "a");
+        amb_catalog_zone(&node->catalog, "b");
+        node->ctl.leading_since = now - rows[i].leading;
+        const uint32_t counts[] = {rows[i].heard_a, rows[i].silent_a, rows[i].heard_b, rows[i].silent_b};
+        for (int k = 0; k < 4; k++)
+            for (uint32_t c = 0; c < counts[k]; c++) {
+                char name[AMB_NAME];
+                snprintf(name, sizeof name, "m-%d-%u", k, c);
+                struct amb_machine *m = amb_machine_get(node, name, true);
+                m->type = 0;
+                m->zone = k / 2;
+                m->state = AMB_MACHINE_UP;
+                m->token_shown = true;
+                m->reported_at = m->answered_at = now - (k % 2 ? 5000 : 500);
+            }
+        amb_fleet_tick(node, now);
+        if (amb_fleet_dark(node, 1) != rows[i].dark || amb_fleet_dark(node, 0)) fail_msg("%s", rows[i].what);
+    }
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(one_task),
@@ -887,6 +966,8 @@
         cmocka_unit_test_setup_teardown(users_share_writes, setup, teardown),
         cmocka_unit_test_setup_teardown(leader_lends_what_it_has, setup, teardown),
         cmocka_unit_test_setup_teardown(damaged_records_do_no_harm, setup, teardown),
+        cmocka_unit_test_setup_teardown(unproven_machine_on_every_peers_word, setup, teardown),
+        cmocka_unit_test_setup_teardown(dark_zones, setup, teardown),
         cmocka_unit_test_setup_teardown(learned_when_nearly_all_have_shown_the_token, setup, teardown),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
