--- a/lib/round.c
+++ b/lib/round.c
@@ -145,12 +145,29 @@
     free(r);
 }
 
+/* The longest that a start takes on a machine still to be rented. */
+static double lead_s(const struct amb_node *n, const struct amb_spec *s) {
+    double lead = 0;
+    for (uint32_t i = 0; i < n->catalog.ntypes; i++) {
+        const struct amb_type *t = &n->catalog.types[i];
+        bool allowed = !s->ntypes;
+        for (uint32_t k = 0; k < s->ntypes && !allowed; k++) allowed = !strcmp(s->types[k], t->name);
+        if (allowed) lead = fmax(lead, t->boot_s + (t->fetch_gb_s > 0 ? s->image_gb / t->fetch_gb_s : 0));
+    }
+    return lead;
+}
+
+/* The soonest that its class is to start. Batch work that may start later than a rented machine could take it
+ * is in no hurry. (When any aim for starts made it so, sweeps to be started within 120 s took the room that
+ * had been made for a gang, were stopped for it and took it again, up to ten times each.) */
 const struct amb_objective *amb_round_wait_objective(const struct amb_node *n, const struct amb_spec *s) {
-    for (uint32_t i = 0; i < n->set.nobjectives; i++)
-        if (!strcmp(n->set.objectives[i].kind, "wait") &&
-            !strcmp(n->set.objectives[i].class_name, s->class_name))
-            return &n->set.objectives[i];
-    return NULL;
+    const struct amb_objective *best = NULL;
+    for (uint32_t i = 0; i < n->set.nobjectives; i++) {
+        const struct amb_objective *o = &n->set.objectives[i];
+        if (strcmp(o->kind, "wait") || strcmp(o->class_name, s->class_name)) continue;
+        if (!best || o->within_s < best->within_s) best = o;
+    }
+    return best && s->kind == AMB_ARRAY && best->within_s > lead_s(n, s) ? NULL : best;
 }
 
 /* May it still wait for room that frees itself, and be done in time? Batch work ends all the time, while a
@@ -158,20 +175,15 @@
 bool amb_round_can_wait(const struct amb_node *n, const struct amb_job *j) {
     const struct amb_spec *s = j->spec;
     if (s->kind != AMB_ARRAY || s->priority >= AMB_HIGH || amb_round_wait_objective(n, s)) return false;
-    double target = s->deadline_s, lead = 0;
+    double target = s->deadline_s;
     for (uint32_t i = 0; i < n->set.nobjectives && s->deadline_s <= 0; i++) {
         const struct amb_objective *o = &n->set.objectives[i];
         if (strcmp(o->kind, "finished") || strcmp(o->class_name, s->class_name)) continue;
         if (target <= 0 || o->within_s < target) target = o->within_s;
     }
-    for (uint32_t t = 0; t < n->catalog.ntypes; t++) {
-        const struct amb_type *type = &n->catalog.types[t];
-        if (!(j->type_mask >> t & 1)) continue;
-        lead = fmax(lead, type->boot_s + (type->fetch_gb_s > 0 ? s->image_gb / type->fetch_gb_s : 0));
-    }
     double age = (double)(amb_wall_ms() - j->accepted_wall) / 1000;
     /* Estimates are often wrong by half. */
-    return age + lead + s->estimate_s * 1.5 < target;
+    return age + lead_s(n, s) + s->estimate_s * 1.5 < target;
 }
 
 void amb_round_wish(struct amb_round *r, struct amb_job *j, struct amb_wish *w) {
@@ -384,6 +396,7 @@
         if (!amb_round_makes_way(t, claim)) continue;
         amb_res_add(&room, &t->job->spec->each, 1);
         amb_res_add(&s->soon, &t->job->spec->each, 1);
+        amb_debug("room on %s: %s/%u makes way for %s", s->machine->name, t->job->ref, t->index, waits->ref);
         amb_task_halt(r->n, t, grace_for(r, t->job->spec, waits), "room for a job that goes before it");
     }
 }
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -1,6 +1,7 @@
 /* The safety protocol, as the leader's handling of reports: what proves a task absent, what may be ordered,
  * and what late copies must not do. No network: the node is put together by hand. */
 #include "amberpin/plan.h"
+#include "amberpin/round.h"
 #include "check.h"
 
 #include <math.h>
@@ -944,6 +945,37 @@
     }
 }
 
+/* Batch work that may start later than a rented machine could take it once counted as hurried: it took the
+ * room that was made for gangs, was stopped for them, and took it again. */
+static void hurry(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        enum amb_kind kind;
+        double within[3], want; /* seconds; want 0: in no hurry */
+    } rows[] = {
+        {"no aim", AMB_ARRAY, {0}, 0},
+        {"sweeps that may start after a boot and a fetch", AMB_ARRAY, {120}, 0},
+        {"sweeps that may not", AMB_ARRAY, {30}, 30},
+        {"gangs, by the soonest of their aims", AMB_GANG, {70, 25, 50}, 25},
+        {"services, however late", AMB_SERVICE, {120}, 120},
+    };
+    node->catalog.types[0].boot_s = 50;
+    node->catalog.types[0].fetch_gb_s = 1.7;
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_spec s = {.kind = rows[i].kind, .class_name = "class", .image_gb = 16};
+        node->set.nobjectives = 0;
+        for (size_t k = 0; k < 3 && rows[i].within[k] > 0; k++) {
+            struct amb_objective *o = &node->set.objectives[node->set.nobjectives++];
+            strcpy(o->kind, "wait");
+            strcpy(o->class_name, "class");
+            o->within_s = rows[i].within[k];
+        }
+        const struct amb_objective *o = amb_round_wait_objective(node, &s);
+        if ((o ? o->within_s : 0) != rows[i].want) fail_msg("%s", rows[i].what);
+    }
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(one_task),
@@ -967,6 +999,7 @@
         cmocka_unit_test_setup_teardown(leader_lends_what_it_has, setup, teardown),
         cmocka_unit_test_setup_teardown(damaged_records_do_no_harm, setup, teardown),
         cmocka_unit_test_setup_teardown(unproven_machine_on_every_peers_word, setup, teardown),
+        cmocka_unit_test_setup_teardown(hurry, setup, teardown),
         cmocka_unit_test_setup_teardown(dark_zones, setup, teardown),
         cmocka_unit_test_setup_teardown(learned_when_nearly_all_have_shown_the_token, setup, teardown),
     };
