Room for tasks of machines that are silent for most of a lease is planned for

Now machines silent for 0.65 of a lease (a worker takes less to find another node) have their tasks planned for: free room is kept, or machines rented; nothing is stopped or started for them until their absence is proven.

--- a/lib/plan.c
+++ b/lib/plan.c
@@ -161,6 +161,34 @@
     free(p->zones);
 }
 
+/* Tasks on machines that have been silent for most of a lease are as good as lost: room for them is looked
+ * for before the lease proves it, since a machine takes longer to boot than the rest of a lease. (Nothing is
+ * stopped for them yet: the machines may come back.) */
+static void plan_lost_soon(struct plan *p) {
+    struct amb_round *r = p->r;
+    struct amb_node *n = r->n;
+    amb_ms most = amb_secs(n->set.lease_s * 0.65); /* longer than a worker takes to find another node */
+    for (uint32_t i = 0; i < r->nslots; i++) r->slots[i].late = 0; /* any room will do */
+    for (struct amb_machine *m = n->fleet.all; m; m = m->hh.next) {
+        amb_ms heard = m->reported_at > n->ctl.leading_since ? m->reported_at : n->ctl.leading_since;
+        if (m->zone < 0 || m->type < 0 || m->release_wanted || r->now - heard < most) continue;
+        for (struct amb_task *t = m->tasks; t; t = t->next) {
+            struct amb_job *j = t->job;
+            if (t->halting || t->done || j->state != AMB_JOB_QUEUED) continue;
+            struct amb_wish w;
+            amb_round_wish(r, j, &w);
+            j->zone_used[m->zone]--;
+            int at = amb_place_pick(&w, r->slots, r->nslots, true);
+            struct amb_slot *s = at >= 0 ? &r->slots[at] : rent_for(p, &w, PLAN_TASKS, true);
+            j->zone_used[m->zone]++;
+            if (!s) continue;
+            amb_res_add(&s->room, &w.need, -1);
+            s->planned++;
+            if (s->machine) s->machine->kept_for = (int)j->spec->priority;
+        }
+    }
+}
+
 /* Free room kept for what a class of urgent jobs is expected to ask for while a machine would boot. */
 static void plan_headroom(struct plan *p) {
     struct amb_round *r = p->r;
@@ -362,6 +390,7 @@
         }
     for (uint32_t i = 0; i < r->njobs; i++)
         if (amb_round_wants_start(r, r->jobs[i])) plan_job(p, r->jobs[i]);
+    plan_lost_soon(p);
     note_demand(p);
     plan_headroom(p);
     plan_returns(p);
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -945,6 +945,47 @@
     }
 }
 
+/* A machine takes longer to boot than the rest of a lease: what is silent for most of one is planned for
+ * before it is proven lost. */
+static void room_for_what_is_as_good_as_lost(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        amb_ms silent;
+        bool over; /* its job */
+        uint32_t wants;
+    } rows[] = {
+        {"reports come", 500, false, 0},
+        {"looking for another node, perhaps", 6000, false, 0},
+        {"silent for most of a lease", 7000, false, 1},
+        {"its job is cancelled", 7000, true, 0},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        teardown(NULL);
+        setup(NULL);
+        amb_ms now = amb_now() + 1000000;
+        strcpy(node->catalog.types[0].zones[0], "a");
+        node->catalog.types[0].nzones = 1;
+        node->catalog.types[0].boot_s = 50;
+        amb_catalog_zone(&node->catalog, "a");
+        node->rental.calls.tokens = 9;
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        bound(j, 0, "m-1", 1);
+        if (rows[i].over) j->state = AMB_JOB_CANCELLED;
+        struct amb_machine *m = amb_machine_get(node, "m-1", false);
+        m->type = m->zone = 0;
+        m->state = AMB_MACHINE_UP;
+        m->token_shown = true;
+        m->reported_at = now - rows[i].silent;
+        struct amb_round *r = amb_round_new(node, now);
+        amb_plan(r);
+        amb_round_free(r);
+        uint32_t wants = 0;
+        for (struct amb_charter *c = node->rental.charters; c; c = c->next) wants += c->count;
+        if (wants != rows[i].wants) fail_msg("%s: %u", rows[i].what, wants);
+    }
+}
+
 /* Batch work that may start later than a rented machine could take it once counted as hurried: it took the
  * room that was made for gangs, was stopped for them, and took it again. */
 static void hurry(void **state) {
@@ -1000,6 +1041,7 @@
         cmocka_unit_test_setup_teardown(damaged_records_do_no_harm, setup, teardown),
         cmocka_unit_test_setup_teardown(unproven_machine_on_every_peers_word, setup, teardown),
         cmocka_unit_test_setup_teardown(hurry, setup, teardown),
+        cmocka_unit_test_setup_teardown(room_for_what_is_as_good_as_lost, setup, teardown),
         cmocka_unit_test_setup_teardown(dark_zones, setup, teardown),
         cmocka_unit_test_setup_teardown(learned_when_nearly_all_have_shown_the_token, setup, teardown),
     };
