--- a/lib/round.c
+++ b/lib/round.c
@@ -215,7 +215,8 @@
 void amb_round_mark(struct amb_round *r, const struct amb_spec *spec, const char *image) {
     const struct amb_objective *o = amb_round_wait_objective(r->n, spec);
     double within = o ? o->within_s : spec->estimate_s > 0 ? spec->estimate_s : r->n->set.lease_s;
-    double slack = o ? r->n->set.report_s * 1.2 : -1;
+    /* What order and report take; where reports are slow, no more than they do on the average. */
+    double slack = o ? fmin(r->n->set.report_s * 1.2, within * 0.2) : -1;
     for (uint32_t i = 0; i < r->nslots; i++) {
         struct amb_slot *s = &r->slots[i];
         double rate = r->n->catalog.types[s->type].fetch_gb_s;
