--- a/include/amberpin/http.h
+++ b/include/amberpin/http.h
@@ -35,7 +35,9 @@
 typedef void (*amb_http_handler)(void *arg, struct amb_http_req *req);
 
 /* idle_ms: a connection without a request is closed after it; max: connections at most. */
-struct amb_server *amb_server_open(const char *addr, int max, amb_ms idle_ms, amb_http_handler fn, void *arg);
+/* max: connections; body_max: bytes of a request's body, or else 413. */
+struct amb_server *amb_server_open(const char *addr, int max, size_t body_max, amb_ms idle_ms,
+                                   amb_http_handler fn, void *arg);
 void amb_http_reply(struct amb_http_req *req, int status, const char *type, const void *body, size_t len,
                     int retry_after_s);
 
--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -239,7 +239,10 @@
     struct amb_timer timer;
 };
 
+enum { AMB_BEAT_MAX = 1024 * 1024 }; /* bytes of a message between nodes */
+
 void amb_peer_init(struct amb_node *n);
+char *amb_peer_say(struct amb_node *n); /* what a node tells the others twice a report; to be freed */
 /* Do workers come to another node, or can no other node be reached at all? */
 bool amb_peer_better_placed(const struct amb_node *n, amb_ms now);
 amb_ms amb_peer_confirmed(const struct amb_node *n,
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -195,6 +195,8 @@
         amb_reply_cbor(req, healthy(n) ? 200 : 503, NULL, 0);
 }
 
+enum { USER_BODY_MAX = 64 * 1024 }; /* the protocol's limit, workers' too */
+
 int amb_node_start(struct amb_node *n, char *err, size_t cap) {
     n->ctl.beat_s = amb_settings_beat(&n->set);
     amb_store_init(&n->store, &n->set);
@@ -204,7 +206,8 @@
     /* A quarter of the sockets is ours, to reach others with; the rest is for those who reach us. */
     int sockets = (int)n->set.fd_limit;
     amb_http_client_limit(sockets / 4);
-    n->front = amb_server_open(n->set.front, sockets * 5 / 8, amb_secs(n->set.lease_s * 6), request, n);
+    n->front = amb_server_open(n->set.front, sockets * 5 / 8, USER_BODY_MAX, amb_secs(n->set.lease_s * 6),
+                               request, n);
     if (!n->front) {
         snprintf(err, cap, "front %s can't be opened", n->set.front);
         return -1;
--- a/lib/http.c
+++ b/lib/http.c
@@ -14,7 +14,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { BODY_MAX = 64 * 1024, RESPONSE_MAX = 8 * 1024 * 1024, READ_CHUNK = 16 * 1024 };
+enum { RESPONSE_MAX = 8 * 1024 * 1024, READ_CHUNK = 16 * 1024 };
 
 /* ---- parser ---- */
 
@@ -188,6 +188,7 @@
 struct amb_server {
     struct amb_watch watch;
     int max, open;
+    size_t body_max;
     amb_ms idle_ms;
     amb_http_handler fn;
     void *arg;
@@ -259,7 +260,7 @@
 static void conn_advance(struct amb_conn *c) {
     while (c->state == CONN_READING && c->in.len) {
         struct amb_http_msg m;
-        long n = amb_http_parse(c->in.data, c->in.len, false, BODY_MAX, &m);
+        long n = amb_http_parse(c->in.data, c->in.len, false, c->server->body_max, &m);
         if (!n) return;
         if (n < 0) {
             c->close_after = true;
@@ -291,7 +292,7 @@
     bool alive = !(events & EPOLLERR);
     if (alive && (events & (EPOLLIN | EPOLLHUP))) alive = fill(w->fd, &c->in);
     /* Requests are not pipelined: more than a request's worth waiting is abuse. */
-    if (!alive || c->in.len > BODY_MAX + AMB_HTTP_HEAD_MAX + READ_CHUNK) {
+    if (!alive || c->in.len > c->server->body_max + AMB_HTTP_HEAD_MAX + READ_CHUNK) {
         conn_end(c);
         return;
     }
@@ -350,8 +351,8 @@
     }
 }
 
-struct amb_server *amb_server_open(const char *addr, int max, amb_ms idle_ms, amb_http_handler fn,
-                                   void *arg) {
+struct amb_server *amb_server_open(const char *addr, int max, size_t body_max, amb_ms idle_ms,
+                                   amb_http_handler fn, void *arg) {
     struct sockaddr_in a;
     if (!parse_addr(addr, &a)) {
         errno = EINVAL;
@@ -368,6 +369,7 @@
     struct amb_server *s = amb_alloc(sizeof *s);
     s->watch = (struct amb_watch){fd, server_event, s};
     s->max = max;
+    s->body_max = body_max;
     s->idle_ms = idle_ms;
     s->fn = fn;
     s->arg = arg;
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -5,6 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Beats grow with the fleet: what changed on a thousand machines and jobs since the last. (At the users'
+ * limit of 64 KiB every sixteenth was refused by all other nodes at once.) */
+enum { IMAGE_SHARES = 16, KNOWN_MACHINES = 4096 };
+
 static bool own_store_ok(const struct amb_node *n, amb_ms now) {
     return n->store.ok_at > n->store.failed_at || now - n->store.failed_at > (amb_ms)(n->set.report_s * 3000);
 }
@@ -134,11 +138,12 @@
 }
 
 /* Which images lie where is nowhere on record: a new leader would send tasks to fetch what is at hand
- * elsewhere. So the leader tells the others, changes as they come and everything now and then. */
-static json_t *images(struct amb_node *n, bool all) {
+ * elsewhere. So the leader tells the others, changes as they come and the rest a share at a time. */
+static json_t *images(struct amb_node *n, uint32_t share) {
     json_t *by_machine = json_object();
+    uint32_t i = 0;
     for (struct amb_machine *m = n->fleet.all; m; m = m->hh.next) {
-        if (!all && !m->images_changed) continue;
+        if (i++ % IMAGE_SHARES != share && !m->images_changed) continue;
         json_t *list = json_array();
         for (uint32_t i = 0; i < m->nimages; i++)
             json_array_append_new(list, json_pack("[s,f]", m->images[i], m->image_gb[i]));
@@ -151,7 +156,7 @@
     if (!json_is_object(told)) return;
     json_t **known = (json_t **)&n->peers.images;
     if (!*known) *known = json_object();
-    if (json_object_size(*known) > 4096) json_object_clear(*known); /* names are never used again */
+    if (json_object_size(*known) > KNOWN_MACHINES) json_object_clear(*known); /* names are never used again */
     json_object_update(*known, (json_t *)told);
 }
 
@@ -169,18 +174,26 @@
     }
 }
 
-static void beat(void *arg) {
-    struct amb_node *n = arg;
-    amb_ms now = amb_now();
-    amb_timer_in(&n->peers.timer, (amb_ms)(n->set.report_s * 500), beat, n);
+char *amb_peer_say(struct amb_node *n) {
     json_t *j = describe(n);
     if (amb_leads(n)) {
         json_object_set_new(j, "lent", json_real(amb_store_lend(&n->store)));
         json_object_set_new(j, "jobs", progress(n));
-        json_object_set_new(j, "images", images(n, n->peers.beats++ % 16 == 0));
+        json_object_set_new(j, "images", images(n, n->peers.beats++ % IMAGE_SHARES));
     }
     char *text = json_dumps(j, JSON_COMPACT);
+    json_decref(j);
+    return text;
+}
+
+static void beat(void *arg) {
+    struct amb_node *n = arg;
+    amb_ms now = amb_now();
+    amb_timer_in(&n->peers.timer, (amb_ms)(n->set.report_s * 500), beat, n);
+    char *text = amb_peer_say(n);
+    size_t len = strlen(text);
     bool all = true;
+    amb_debug("beat: %zu bytes", len);
     for (uint32_t i = 0; i < n->peers.count; i++) {
         struct amb_peer *p = &n->peers.list[i];
         if (p->busy) {
@@ -189,7 +202,7 @@
         }
         p->busy = true;
         p->sent_at = now;
-        amb_http_call(p->addr, "POST", "/peer/beat", "application/json", text, strlen(text),
+        amb_http_call(p->addr, "POST", "/peer/beat", "application/json", text, len,
                       (amb_ms)(n->set.report_s * 1000), beat_done, p);
     }
     if (all && amb_leads(n)) {
@@ -197,7 +210,6 @@
         for (struct amb_machine *m = n->fleet.all; m; m = m->hh.next) m->images_changed = false;
     }
     free(text);
-    json_decref(j);
 }
 
 static void learn_progress(struct amb_node *n, const json_t *j) {
@@ -252,7 +264,7 @@
         strcpy(p->addr, n->set.peers[i].addr);
         p->node = n;
     }
-    n->side = amb_server_open(n->set.peer_listen, 4 * (int)n->peers.count + 8,
+    n->side = amb_server_open(n->set.peer_listen, 4 * (int)n->peers.count + 8, AMB_BEAT_MAX,
                               (amb_ms)(n->set.lease_s * 1000), request, n);
     if (!n->side) {
         amb_error("cluster_listen %s can't be opened", n->set.peer_listen);
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -7,19 +7,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { MACHINES = 512, TASKS = 512, KEYS = 2048, LEASES = 256, CHANGES = 16384, JOBS = 256, CALLS = 4096 };
+enum { MACHINES = 2048, TASKS = 512, KEYS = 8192, LEASES = 256, CHANGES = 65536, JOBS = 1024, CALLS = 8192 };
 
-const struct sim_size sim_small = {3, 12, 16, 12}, sim_grown = {7, 120, 120, 40};
+const struct sim_size sim_small = {3, 12, 16, 12, 3, 1000, 10000, 30000, 200, 20, 3},
+                      sim_grown = {7, 120, 120, 40, 3, 1000, 10000, 30000, 200, 20, 3},
+                      sim_fleet = {7, 600, 700, 60, 12, 4000, 22000, 42000, 700, 70, 6};
 static const struct sim_size *size = &sim_small;
 
 static int team_limit(void) { /* GPUs */
     return 2 * size->machines;
 }
 enum {
-    REPORT = 1000,
     KEPT = 20, /* an answer that took longer was not given at once */
-    LEASE = 10000,
-    CANCEL = 30000,
     LAG = 5000,
     BOOT = 8000,
     FETCH = 2000,
@@ -65,11 +64,11 @@
 
 /* ---- timers, in place of the loop ---- */
 
-static struct {
+static struct sim_timer {
     struct amb_timer *t;
     int owner;
     uint64_t order;
-} timers[8192];
+} timers[32768];
 static size_t ntimers;
 static uint64_t order_count;
 
@@ -87,12 +86,39 @@
     (void)w;
 }
 
+static bool sooner(size_t a, size_t b) {
+    amb_ms x = timers[a].t->at, y = timers[b].t->at;
+    return x < y || (x == y && timers[a].order < timers[b].order);
+}
+
+static void timers_swap(size_t a, size_t b) {
+    struct sim_timer keep = timers[a];
+    timers[a] = timers[b];
+    timers[b] = keep;
+    timers[a].t->slot = a + 1;
+    timers[b].t->slot = b + 1;
+}
+
+/* The soonest stands first: children of i at 2i + 1 and 2i + 2. */
+static void timers_sift(size_t i) {
+    for (; i && sooner(i, (i - 1) / 2); i = (i - 1) / 2) timers_swap(i, (i - 1) / 2);
+    for (;;) {
+        size_t c = 2 * i + 1;
+        if (c + 1 < ntimers && sooner(c + 1, c)) c++;
+        if (c >= ntimers || !sooner(c, i)) return;
+        timers_swap(i, c);
+        i = c;
+    }
+}
+
 void amb_timer_stop(struct amb_timer *t) {
     if (!t->slot) return;
     size_t i = t->slot - 1;
     t->slot = 0;
-    timers[i] = timers[--ntimers];
-    if (i < ntimers) timers[i].t->slot = i + 1;
+    if (i == --ntimers) return;
+    timers[i] = timers[ntimers];
+    timers[i].t->slot = i + 1;
+    timers_sift(i);
 }
 
 void amb_timer_set(struct amb_timer *t, amb_ms at, void (*fn)(void *), void *arg) {
@@ -104,6 +130,7 @@
     timers[ntimers].owner = cur;
     timers[ntimers].order = order_count++;
     t->slot = ++ntimers;
+    timers_sift(ntimers - 1);
 }
 
 void amb_timer_in(struct amb_timer *t, amb_ms delay, void (*fn)(void *), void *arg) {
@@ -146,6 +173,7 @@
     bool alive;
     uint64_t incarnation;
     amb_http_handler front, side;
+    size_t front_most, side_most; /* of a request's body */
     void *front_arg, *side_arg;
     struct amb_timer back;
     char zone[2];
@@ -176,8 +204,9 @@
 };
 static struct sim_machine machines[MACHINES];
 static int nmachines;
-static char charters[256][48];
-static int charter_from[256], charter_count[256], ncharters;
+enum { CHARTERS = 2048 };
+static char charters[CHARTERS][48];
+static int charter_from[CHARTERS], charter_count[CHARTERS], ncharters;
 
 struct sim_job {
     struct amb_spec spec;
@@ -239,13 +268,16 @@
 }
 
 static struct call *call_new(void) {
-    for (int i = 0; i < CALLS; i++)
+    static int last;
+    for (int n = 0; n < CALLS; n++) {
+        int i = last = (last + 1) % CALLS;
         if (!calls[i].used) {
             calls[i].used = true;
             calls[i].serial = ++call_count;
             calls[i].from = calls[i].from_machine = calls[i].node = calls[i].machine = -1;
             return &calls[i];
         }
+    }
     abort();
 }
 
@@ -313,6 +345,11 @@
         if (c->user_fn || c->fn) call_answer(c, 0, NULL); /* refused */
         return;
     }
+    if (c->len > (c->to == AT_FRONT ? s->front_most : s->side_most)) {
+        broken("a request of a node, worker or user is too large for %s%s", c->path, "");
+        call_answer(c, 413, NULL);
+        return;
+    }
     struct amb_http_req *r = amb_alloc(sizeof *r);
     struct asked *asked = amb_alloc(sizeof *asked);
     *asked = (struct asked){c, c->serial};
@@ -397,14 +434,17 @@
     (void)max;
 }
 
-struct amb_server *amb_server_open(const char *addr, int max, amb_ms idle, amb_http_handler fn, void *arg) {
+struct amb_server *amb_server_open(const char *addr, int max, size_t body_max, amb_ms idle,
+                                   amb_http_handler fn, void *arg) {
     (void)max, (void)idle;
     struct sim_node *s = &nodes[cur];
     if (addr[0] == 'F') {
         s->front = fn;
+        s->front_most = body_max;
         s->front_arg = arg;
     } else {
         s->side = fn;
+        s->side_most = body_max;
         s->side_arg = arg;
     }
     return (struct amb_server *)s;
@@ -489,8 +529,10 @@
     uint64_t from = strtoull(after, NULL, 10);
     size_t n = 0;
     struct amb_buf b = {0}, list = {0};
-    for (int i = 0; i < nchanges; i++) {
-        if (changes[i].stamp <= from || strncmp(changes[i].key, prefix, strlen(prefix))) continue;
+    int first = nchanges; /* stamps only rise */
+    while (first && changes[first - 1].stamp > from) first--;
+    for (int i = first; i < nchanges; i++) {
+        if (strncmp(changes[i].key, prefix, strlen(prefix))) continue;
         n++;
         bool put = changes[i].value.len > 0;
         amb_w_map(&list, put ? 3 : 2);
@@ -701,9 +743,8 @@
 /* ---- machines and their tasks ---- */
 
 static struct sim_job *job_of(const char *ref) {
-    for (int i = 0; i < njobs; i++)
-        if (!strcmp(jobs[i].spec.ref, ref)) return &jobs[i];
-    return NULL;
+    int i = atoi(ref + 3); /* as draw_jobs names them */
+    return i >= 0 && i < njobs && !strcmp(jobs[i].spec.ref, ref) ? &jobs[i] : NULL;
 }
 
 static bool on_machine(const struct sim_task *t) {
@@ -724,7 +765,8 @@
     result.starts++;
     for (int i = 0; i < nmachines; i++) {
         struct sim_machine *o = &machines[i];
-        if (!o->exists || o->dead || now_ms - o->lease_from > LEASE) continue; /* hanging beyond its lease */
+        if (!o->exists || o->dead || now_ms - o->lease_from > size->lease)
+            continue; /* hanging beyond its lease */
         for (uint32_t k = 0; k < o->ntasks; k++) {
             struct sim_task *x = &o->tasks[k];
             if (!on_machine(x) || x == t) continue;
@@ -743,7 +785,7 @@
         broken("wrong_place: spread of %s on %s", t->ref, m->name);
     if (j->spec.one_zone && in_zone[1 - m->zone])
         broken("wrong_place: %s not in one zone, %s", t->ref, m->name);
-    if (j->cancel_told && now_ms > j->cancel_told_at + CANCEL)
+    if (j->cancel_told && now_ms > j->cancel_told_at + size->cancel)
         broken("ran_cancelled: %s started on %s", t->ref, m->name);
 }
 
@@ -803,7 +845,7 @@
 static void machine_advance(int i) {
     struct sim_machine *m = &machines[i];
     if (!m->exists || m->dead || !m->up || now_ms < m->hang_until) return;
-    if (now_ms - m->lease_from > LEASE) { /* kills all its tasks and forgets them */
+    if (now_ms - m->lease_from > size->lease) { /* kills all its tasks and forgets them */
         m->ntasks = 0;
         m->session++;
         m->seq = 0;
@@ -826,7 +868,7 @@
         } else if (t->on == AMB_ON_RUNNING && j->spec.kind != AMB_GANG && now_ms >= t->end_at) {
             exit_task(m, t, AMB_WHY_DONE);
         }
-        if (on_machine(t) && j->cancel_told && now_ms > j->cancel_told_at + CANCEL)
+        if (on_machine(t) && j->cancel_told && now_ms > j->cancel_told_at + size->cancel)
             broken("ran_cancelled: %s on %s", t->ref, m->name);
     }
 }
@@ -935,7 +977,7 @@
             do_orders(m, amb_cbor_get(body, "orders"));
             if (kept > result.kept_most) result.kept_most = kept;
             if (kept > KEPT) result.kept_starts += result.ordered - before;
-            next = m->changed ? REPORT / 2 : between(REPORT * 3 / 4, REPORT * 5 / 4);
+            next = m->changed ? 500 : between(size->report * 3 / 4, size->report * 5 / 4);
             next = kept + 1 < next ? next - kept : 1;
         } else if (c->status == 421 && amb_cbor_str(amb_cbor_get(body, "harbour"), name, sizeof name)) {
             m->node = name[1] - '0';
@@ -1227,7 +1269,7 @@
         snprintf(s->ref, sizeof s->ref, "wk-%06d", i);
         strcpy(s->class_name, "train");
         snprintf(s->team, sizeof s->team, "team-%d", (int)(draw() % 2));
-        snprintf(s->image, sizeof s->image, "img-%d", (int)(draw() % 3));
+        snprintf(s->image, sizeof s->image, "img-%d", (int)(draw() % (uint64_t)size->images));
         s->image_gb = 10;
         s->kind = (enum amb_kind)(draw() % 3);
         s->priority = s->kind == AMB_SERVICE ? AMB_PROD : (enum amb_priority)(draw() % 3);
@@ -1272,10 +1314,11 @@
         set->teams[t].guarantee.gpus = team_limit() / 3;
         set->teams[t].limit.gpus = team_limit();
     }
-    set->report_s = 1, set->lease_s = LEASE / 1000.0, set->cancel_s = CANCEL / 1000.0;
+    set->report_s = size->report / 1000.0, set->lease_s = size->lease / 1000.0,
+    set->cancel_s = size->cancel / 1000.0;
     set->gang_wait_s = GANG_WAIT / 1000.0, set->gang_peer_s = 5;
-    set->state_rps = 200, set->state_write_rps = 20, set->value_kb = 8, set->txn_ops = 8;
-    set->cloud_rps = 3, set->list_lag_s = LAG / 1000.0;
+    set->state_rps = size->rps, set->state_write_rps = size->writes, set->value_kb = 8, set->txn_ops = 8;
+    set->cloud_rps = size->cloud, set->list_lag_s = LAG / 1000.0;
     set->cores = 0.1, set->memory_mb = 40, set->fd_limit = 500;
     s->n = n;
     s->alive = true;
@@ -1343,14 +1386,9 @@
 }
 
 static bool next_timer(amb_ms until) {
-    size_t best = SIZE_MAX;
-    for (size_t i = 0; i < ntimers; i++)
-        if (best == SIZE_MAX || timers[i].t->at < timers[best].t->at ||
-            (timers[i].t->at == timers[best].t->at && timers[i].order < timers[best].order))
-            best = i;
-    if (best == SIZE_MAX || timers[best].t->at >= until) return false;
-    struct amb_timer *t = timers[best].t;
-    cur = timers[best].owner;
+    if (!ntimers || timers[0].t->at >= until) return false;
+    struct amb_timer *t = timers[0].t;
+    cur = timers[0].owner;
     if (t->at > now_ms) now_ms = t->at;
     amb_timer_stop(t);
     t->fn(t->arg);
@@ -1389,8 +1427,12 @@
             }
         end_leases();
         for (int i = 0; i < nmachines; i++) machine_advance(i);
+        bool there[JOBS] = {false};
+        for (int i = 0; i < nmachines; i++)
+            for (uint32_t k = 0; k < machines[i].ntasks; k++)
+                there[job_of(machines[i].tasks[k].ref) - jobs] = true;
         for (int i = 0; i < njobs; i++)
-            if (jobs[i].spec.kind == AMB_GANG && jobs[i].accepted) gang_advance(&jobs[i]);
+            if (jobs[i].spec.kind == AMB_GANG && there[i]) gang_advance(&jobs[i]);
     }
     for (int i = 0; i < njobs; i++) {
         const struct sim_job *j = &jobs[i];
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -12,8 +12,11 @@
 struct sim_size { /* how large the deployment of a day is */
     int nodes, machines, jobs;
     uint32_t tasks; /* of an array, at most */
+    int images;
+    amb_ms report, lease, cancel;
+    double rps, writes, cloud; /* calls a second: state service, its changes, cloud */
 };
-extern const struct sim_size sim_small, sim_grown;
+extern const struct sim_size sim_small, sim_grown, sim_fleet;
 
 enum sim_fault_kind {
     SIM_KILL,            /* node dies, comes back after a while */
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -986,6 +986,33 @@
     }
 }
 
+/* What a leader of a large fleet tells the others fits in a message, at its worst and all the more as a rule.
+ */
+static void beats_fit(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        bool changed;
+        size_t most;
+    } rows[] = {{"everything has changed", true, AMB_BEAT_MAX}, {"nothing has", false, AMB_BEAT_MAX / 8}};
+    for (uint32_t i = 0; i < 1300; i++) {
+        char name[AMB_NAME];
+        snprintf(name, sizeof name, "m-%06u", i);
+        struct amb_machine *m = amb_machine_get(node, name, true);
+        for (m->nimages = 0; m->nimages < AMB_IMAGES; m->nimages++) {
+            snprintf(m->images[m->nimages], AMB_NAME, "img-%02u", m->nimages);
+            m->image_gb[m->nimages] = 65.5;
+        }
+    }
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        for (struct amb_machine *m = node->fleet.all; m; m = m->hh.next) m->images_changed = rows[i].changed;
+        char *text = amb_peer_say(node);
+        size_t len = strlen(text);
+        free(text);
+        if (len < 1000 || len > rows[i].most) fail_msg("%s: %zu bytes", rows[i].what, len);
+    }
+}
+
 /* Batch work that may start later than a rented machine could take it once counted as hurried: it took the
  * room that was made for gangs, was stopped for them, and took it again. */
 static void hurry(void **state) {
@@ -1042,6 +1069,7 @@
         cmocka_unit_test_setup_teardown(unproven_machine_on_every_peers_word, setup, teardown),
         cmocka_unit_test_setup_teardown(hurry, setup, teardown),
         cmocka_unit_test_setup_teardown(room_for_what_is_as_good_as_lost, setup, teardown),
+        cmocka_unit_test_setup_teardown(beats_fit, setup, teardown),
         cmocka_unit_test_setup_teardown(dark_zones, setup, teardown),
         cmocka_unit_test_setup_teardown(learned_when_nearly_all_have_shown_the_token, setup, teardown),
     };
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -143,11 +143,35 @@
         fail_msg("%u accepted, %u done, %u starts, %u left open", r.accepted, r.done, r.starts, r.open);
 }
 
+/* The size of the fleet deployments: hundreds of machines, slow reports, long leases. All controllers end
+ * together while a zone is out of reach, a machine hears no answers, others hang or die, and late copies
+ * come. */
+static void fleet_day(void **state) {
+    (void)state;
+    const struct sim_fault f[] = {
+        {SIM_KILL, 20000, 1, -1},      {SIM_DEAF, 25000, 30000, -1},
+        {SIM_COPIES, 25000, 60000, 3}, {SIM_ZONES_APART, 40000, 30000, -1},
+        {SIM_KILL, 45000, 1, -1},      {SIM_HANG, 50000, 30000, -1},
+        {SIM_DIE, 52000, 1, -1},       {SIM_OUTAGE, 75000, 10000, -1},
+        {SIM_KILL, 80000, 1, 0},       {SIM_KILL, 80000, 1, 1},
+        {SIM_KILL, 80000, 1, 2},       {SIM_KILL, 80000, 1, 3},
+        {SIM_KILL, 80000, 1, 4},       {SIM_KILL, 80000, 1, 5},
+        {SIM_KILL_BRIEF, 80000, 1, 6}, {SIM_KILL_BRIEF, 84000, 1, -1},
+        {SIM_LATE, 95000, 10000, -1},  {SIM_CUT_BUT_WORKERS, 100000, 20000, -1},
+    };
+    struct sim_result r = sim_day(&sim_fleet, 3, DAY, f, ROWS(f));
+    if (r.broken[0]) fail_msg("%s", r.broken);
+    if (r.accepted < 600 || r.done < 200 || r.starts < 7000 || r.open)
+        fail_msg("%u accepted, %u done, %u starts, %u left open", r.accepted, r.done, r.starts, r.open);
+}
+
 int main(void) {
     amb_log_init(getenv("LOG_LEVEL") ? getenv("LOG_LEVEL") : "error");
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(quiet_days), cmocka_unit_test(single_troubles), cmocka_unit_test(named_days),
         cmocka_unit_test(drawn_days), cmocka_unit_test(found_days),      cmocka_unit_test(grown_day),
+        cmocka_unit_test(fleet_day),
     };
+    if (getenv("SIM_FILTER")) cmocka_set_test_filter(getenv("SIM_FILTER"));
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
