--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -36,6 +36,7 @@
 };
 
 void amb_election_init(struct amb_node *n);
+amb_ms amb_election_patience(const struct amb_node *n); /* with a call to the state service */
 void amb_election_tick(struct amb_node *n, amb_ms now);
 void amb_election_ready(struct amb_node *n); /* the store has been read */
 void amb_election_key(struct amb_node *n, const cbor_item_t *value,
--- a/include/amberpin/store.h
+++ b/include/amberpin/store.h
@@ -52,7 +52,7 @@
     amb_ms ok_at, failed_at;
 };
 
-void amb_store_init(struct amb_store *s, const struct amb_settings *set);
+void amb_store_init(struct amb_store *s, const struct amb_settings *set, amb_ms call_timeout);
 void amb_store_share(struct amb_store *s, bool leading); /* the leader writes most */
 /* For a user: are there tokens, and keep: a share of the bucket left for more urgent jobs? */
 bool amb_store_can_write(struct amb_store *s, uint32_t n, double keep);
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -199,8 +199,8 @@
 
 int amb_node_start(struct amb_node *n, char *err, size_t cap) {
     n->ctl.beat_s = amb_settings_beat(&n->set);
-    amb_store_init(&n->store, &n->set);
     amb_election_init(n);
+    amb_store_init(&n->store, &n->set, amb_election_patience(n));
     amb_rental_init(n);
     for (uint32_t i = 0; i < n->set.nzones; i++) amb_catalog_zone(&n->catalog, n->set.zones[i]);
     /* A quarter of the sockets is ours, to reach others with; nearly all of the rest is for those who reach
--- a/lib/election.c
+++ b/lib/election.c
@@ -282,3 +282,10 @@
     if (e->ttl < 100) e->ttl = 100;
     if (e->ttl > 600000) e->ttl = 600000;
 }
+
+/* One renewal without an answer must not cost the lead: with calls given up after a report period of 4 s it
+ * would have cost a lease of 3 s. */
+amb_ms amb_election_patience(const struct amb_node *n) {
+    amb_ms third = n->election.ttl / 3, report = amb_secs(n->set.report_s);
+    return third < report ? third : report;
+}
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -175,9 +175,8 @@
     if (n->jobs.following) return;
     n->jobs.following = true;
     n->jobs.follow_sent_at = amb_now();
-    /* Back before news would count as old (amb_deputy_tick). */
-    amb_ms wait = n->store.call_timeout * 2, most = n->election.ttl * 2 / 3;
-    amb_store_follow(&n->store, PREFIX, n->jobs.epoch, wait < most ? wait : most, followed, n);
+    /* Back within two thirds of the leadership lease, before news would count as old (amb_deputy_tick). */
+    amb_store_follow(&n->store, PREFIX, n->jobs.epoch, n->store.call_timeout * 2, followed, n);
 }
 
 static void listed(void *arg, int status, const cbor_item_t *body) {
--- a/lib/store.c
+++ b/lib/store.c
@@ -209,13 +209,13 @@
     pump(s);
 }
 
-void amb_store_init(struct amb_store *s, const struct amb_settings *set) {
+void amb_store_init(struct amb_store *s, const struct amb_settings *set, amb_ms call_timeout) {
     memset(s, 0, sizeof *s);
     strcpy(s->addr, set->state);
     s->rps = set->state_rps;
     s->write_rps = set->state_write_rps;
     s->members = set->npeers + 1;
-    s->call_timeout = (amb_ms)(set->report_s * 1000);
+    s->call_timeout = call_timeout;
     s->requests.tokens = s->rps / s->members;
     s->writes.tokens = s->write_rps / s->members;
     s->user_writes.tokens = s->write_rps * 0.5;
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -791,7 +791,7 @@
         node->set.npeers = 6;
         node->set.state_rps = 200;
         node->set.state_write_rps = 20;
-        amb_store_init(&node->store, &node->set);
+        amb_store_init(&node->store, &node->set, 1000);
         node->store.user_writes.at = amb_now() + 3600000; /* no refill meanwhile */
         char ref[AMB_NAME];
         uint64_t stamp = 1;
@@ -824,7 +824,7 @@
     node->set.state_write_rps = 20;
     for (size_t i = 0; i < ROWS(rows); i++) {
         struct amb_store *s = &node->store;
-        amb_store_init(s, &node->set);
+        amb_store_init(s, &node->set, 1000);
         amb_store_share(s, true);
         s->writes.at = s->user_writes.at = amb_now() + 3600000;
         s->writes.tokens = rows[i].own;
@@ -1013,6 +1013,31 @@
     }
 }
 
+/* A renewal that gets no answer is given up in time for another two, whatever the workers' figures. */
+static void leases_outlast_a_lost_answer(void **state) {
+    (void)state;
+    static const struct {
+        double report, lease, cancel;
+        amb_ms ttl, patience;
+    } rows[] = {
+        {1, 10, 30, 3000, 1000},
+        {1, 10, 35, 3000, 1000},
+        {4, 22, 42, 3000, 1000},
+        {2.5, 15.25, 40.25, 3750, 1250},
+        {0.2, 10, 30, 3000, 200},
+        {1, 10, 9, 3000, 1000}, /* no time left by a cancellation: the lease alone decides */
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        node->set.report_s = rows[i].report;
+        node->set.lease_s = rows[i].lease;
+        node->set.cancel_s = rows[i].cancel;
+        amb_election_init(node);
+        if (node->election.ttl != rows[i].ttl || amb_election_patience(node) != rows[i].patience)
+            fail_msg("row %zu: %lld, %lld", i, (long long)node->election.ttl,
+                     (long long)amb_election_patience(node));
+    }
+}
+
 /* Batch work that may start later than a rented machine could take it once counted as hurried: it took the
  * room that was made for gangs, was stopped for them, and took it again. */
 static void hurry(void **state) {
@@ -1070,6 +1095,7 @@
         cmocka_unit_test_setup_teardown(hurry, setup, teardown),
         cmocka_unit_test_setup_teardown(room_for_what_is_as_good_as_lost, setup, teardown),
         cmocka_unit_test_setup_teardown(beats_fit, setup, teardown),
+        cmocka_unit_test_setup_teardown(leases_outlast_a_lost_answer, setup, teardown),
         cmocka_unit_test_setup_teardown(dark_zones, setup, teardown),
         cmocka_unit_test_setup_teardown(learned_when_nearly_all_have_shown_the_token, setup, teardown),
     };
