--- a/lib/plan.c
+++ b/lib/plan.c
@@ -172,6 +172,7 @@
     for (struct amb_machine *m = n->fleet.all; m; m = m->hh.next) {
         amb_ms heard = m->reported_at > n->ctl.leading_since ? m->reported_at : n->ctl.leading_since;
         if (m->zone < 0 || m->type < 0 || m->release_wanted || r->now - heard < most) continue;
+        if (amb_deputy_in_zone(n, m->zone)) continue; /* kept alive by a node that reaches it */
         for (struct amb_task *t = m->tasks; t; t = t->next) {
             struct amb_job *j = t->job;
             if (t->halting || t->done || j->state != AMB_JOB_QUEUED) continue;
