--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -403,9 +403,7 @@
  * say nothing is kept for a part of the period. The worker would not report again meanwhile, whatever
  * changes: not sooner than half a period after its last report. */
 
-/* Parts of the report period: the answer is back before the next report may come, and sooner where tasks may
- * end, whose report would have to wait for it. */
-static const double HOLD = 0.4, HOLD_EMPTY = 0.7;
+static const double HOLD = 0.4; /* of the report period: the answer is back before the next may come */
 /* The protocol: a worker drops an answer that comes after 4 s, however seldom it reports. */
 static const double DROPPED_S = 4;
 
@@ -454,8 +452,8 @@
     h->machine = m;
     h->req = req;
     m->held = h;
-    double most = n->set.report_s < DROPPED_S ? n->set.report_s : DROPPED_S;
-    amb_timer_in(&h->timer, amb_secs(most * (m->ntasks ? HOLD : HOLD_EMPTY)), answer_held, h);
+    amb_timer_in(&h->timer, amb_secs(HOLD * (n->set.report_s < DROPPED_S ? n->set.report_s : DROPPED_S)),
+                 answer_held, h);
 }
 
 void amb_fleet_tell(struct amb_task *t) {
