--- a/lib/plan.c
+++ b/lib/plan.c
@@ -168,6 +168,12 @@
     struct amb_round *r = p->r;
     struct amb_node *n = r->n;
     amb_ms most = amb_secs(n->set.lease_s * 0.65); /* longer than a worker takes to find another node */
+    amb_ms latest = 0;
+    for (const struct amb_machine *m = n->fleet.all; m; m = m->hh.next)
+        if (m->reported_at > latest) latest = m->reported_at;
+    /* Nobody heard at all: it is this node that is out of reach. (A new leader in that place once rented
+     * twice its fleet anew within 14 s.) */
+    if (r->now - latest > amb_secs(n->set.report_s * 3)) return;
     for (uint32_t i = 0; i < r->nslots; i++) r->slots[i].late = 0; /* any room will do */
     for (struct amb_machine *m = n->fleet.all; m; m = m->hh.next) {
         amb_ms heard = m->reported_at > n->ctl.leading_since ? m->reported_at : n->ctl.leading_since;
--- a/tests/test_protocol.c
+++ b/tests/test_protocol.c
@@ -952,14 +952,15 @@
     static const struct {
         const char *what;
         amb_ms silent;
-        bool over, deputy; /* its job; in its zone */
+        bool over, deputy, alone; /* its job; in its zone; no other machine is heard */
         uint32_t wants;
     } rows[] = {
-        {"reports come", 500, false, false, 0},
-        {"looking for another node, perhaps", 6000, false, false, 0},
-        {"silent for most of a lease", 7000, false, false, 1},
-        {"its job is cancelled", 7000, true, false, 0},
-        {"a deputy keeps it alive", 7000, false, true, 0},
+        {"reports come", 500, false, false, false, 0},
+        {"looking for another node, perhaps", 6000, false, false, false, 0},
+        {"silent for most of a lease", 7000, false, false, false, 1},
+        {"its job is cancelled", 7000, true, false, false, 0},
+        {"a deputy keeps it alive", 7000, false, true, false, 0},
+        {"nobody is heard", 7000, false, false, true, 0},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
         teardown(NULL);
@@ -978,6 +979,11 @@
         m->state = AMB_MACHINE_UP;
         m->token_shown = true;
         m->reported_at = now - rows[i].silent;
+        if (!rows[i].alone) {
+            struct amb_machine *other = amb_machine_get(node, "m-2", true);
+            other->reported_at = now - 500;
+            other->release_wanted = true; /* no room there */
+        }
         node->deputy.nknown = 1;
         node->deputy.known[0].present = rows[i].deputy;
         struct amb_round *r = amb_round_new(node, now);
