--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -218,6 +218,7 @@
  * front and says whether it is new. */
 bool amb_latest_first(char (*names)[AMB_NAME], double *gb, uint32_t *n, uint32_t most, const char *name,
                       double figure);
+bool amb_spec_allows(const struct amb_spec *s, const char *type);    /* this machine type */
 int amb_catalog_type(const struct amb_catalog *c, const char *name); /* -1: unknown */
 int amb_catalog_zone(struct amb_catalog *c, const char *name);       /* added when new; -1: no room */
 bool amb_res_fits(const struct amb_res *need, const struct amb_res *room);
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -405,8 +405,7 @@
     if (!n->rental.catalog_known) return AMB_VERDICT_LATER;
     for (uint32_t i = 0; i < n->catalog.ntypes; i++) {
         const struct amb_type *t = &n->catalog.types[i];
-        bool allowed = !s->ntypes, zone = !s->zone[0];
-        for (uint32_t k = 0; k < s->ntypes && !allowed; k++) allowed = !strcmp(s->types[k], t->name);
+        bool allowed = amb_spec_allows(s, t->name), zone = !s->zone[0];
         for (uint32_t k = 0; k < t->nzones && !zone; k++) zone = !strcmp(s->zone, t->zones[k]);
         if (allowed && zone && amb_res_fits(&s->each, &t->size)) return AMB_VERDICT_OK;
     }
@@ -516,12 +515,8 @@
 bool amb_job_allows_type(struct amb_node *n, struct amb_job *j, int type) {
     if (!j->type_mask_known && n->rental.catalog_known) {
         j->type_mask = 0;
-        for (uint32_t i = 0; i < n->catalog.ntypes; i++) {
-            bool allowed = !j->spec->ntypes;
-            for (uint32_t k = 0; k < j->spec->ntypes && !allowed; k++)
-                allowed = !strcmp(j->spec->types[k], n->catalog.types[i].name);
-            if (allowed) j->type_mask |= 1u << i;
-        }
+        for (uint32_t i = 0; i < n->catalog.ntypes; i++)
+            if (amb_spec_allows(j->spec, n->catalog.types[i].name)) j->type_mask |= 1u << i;
         j->type_mask_known = true;
     }
     return type >= 0 && (j->type_mask >> type & 1);
--- a/lib/place.c
+++ b/lib/place.c
@@ -22,6 +22,12 @@
     return fresh;
 }
 
+bool amb_spec_allows(const struct amb_spec *s, const char *type) {
+    for (uint32_t i = 0; i < s->ntypes; i++)
+        if (!strcmp(s->types[i], type)) return true;
+    return !s->ntypes;
+}
+
 int amb_catalog_type(const struct amb_catalog *c, const char *name) {
     for (uint32_t i = 0; i < c->ntypes; i++)
         if (!strcmp(c->types[i].name, name)) return (int)i;
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -207,10 +207,9 @@
         double boot = 0;
         uint32_t mask = 0;
         for (uint32_t t = 0; t < n->catalog.ntypes; t++) {
-            bool allowed = !d->last.ntypes;
-            for (uint32_t k = 0; k < d->last.ntypes && !allowed; k++)
-                allowed = !strcmp(d->last.types[k], n->catalog.types[t].name);
-            if (!allowed || fits_times(&d->last.each, &n->catalog.types[t].size) < 1) continue;
+            if (!amb_spec_allows(&d->last, n->catalog.types[t].name) ||
+                fits_times(&d->last.each, &n->catalog.types[t].size) < 1)
+                continue;
             mask |= 1u << t;
             boot = fmax(boot, n->catalog.types[t].boot_s);
         }
--- a/lib/round.c
+++ b/lib/round.c
@@ -150,9 +150,8 @@
     double lead = 0;
     for (uint32_t i = 0; i < n->catalog.ntypes; i++) {
         const struct amb_type *t = &n->catalog.types[i];
-        bool allowed = !s->ntypes;
-        for (uint32_t k = 0; k < s->ntypes && !allowed; k++) allowed = !strcmp(s->types[k], t->name);
-        if (allowed) lead = fmax(lead, t->boot_s + (t->fetch_gb_s > 0 ? s->image_gb / t->fetch_gb_s : 0));
+        if (amb_spec_allows(s, t->name))
+            lead = fmax(lead, t->boot_s + (t->fetch_gb_s > 0 ? s->image_gb / t->fetch_gb_s : 0));
     }
     return lead;
 }
