--- a/lib/deputy.c
+++ b/lib/deputy.c
@@ -95,9 +95,9 @@
     bool fresh = now - n->jobs.fresh_at < e->ttl;
     if (d->state == AMB_DEPUTY_OFF) {
         /* The key outlives a leader that has died by its lease, and beats come twice a report: silence must
-         * last longer than either. (When it was the lease alone, every node stood in for a dead leader at
-         * once, a moment before its key went.) */
-        amb_ms silence = (e->ttl > report ? e->ttl : report) * 3 / 2;
+         * last longer than either, but workers find another node after five seconds and have a lease to lose.
+         */
+        amb_ms silence = e->ttl > report * 3 / 2 ? e->ttl : report * 3 / 2;
         if (!leads_elsewhere || !fresh || now - d->since < report || leader_heard(n, now, silence)) return;
         d->term = e->holder_stamp;
         d->renewed_at = d->renew_sent_at = now;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -625,8 +625,9 @@
         dark += sight[z] == AMB_ZONE_DARK;
     }
     for (uint32_t z = 0; z < AMB_ZONES; z++) {
-        /* Nobody heard from anywhere shows nothing of any zone. */
-        if (dark == n->catalog.nzones && sight[z] == AMB_ZONE_DARK) sight[z] = AMB_ZONE_DIM;
+        /* Nobody heard from anywhere shows nothing of any zone; and one with a deputy is at work. */
+        bool known = dark == n->catalog.nzones || amb_deputy_in_zone(n, (int)z);
+        if (known && sight[z] == AMB_ZONE_DARK) sight[z] = AMB_ZONE_DIM;
         zone_sight(n, z, sight[z], silent[z], all[z]);
     }
 }
