A comment that claimed too much, and a condition put where it belongs

Charters in dark zones are left out by the condition before the loop instead of in it. Behaviour stays as it is; tests pass (89 s).

--- a/lib/peer.c
+++ b/lib/peer.c
@@ -5,8 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Beats grow with the fleet: what changed on a thousand machines and jobs since the last. (At the users'
- * limit of 64 KiB every sixteenth was refused by all other nodes at once.) */
+/* What is told of images at a time, and kept. (All of them at once came to about the 64 KiB that a user's
+ * request may have, with the machines of the fleet deployments; see AMB_BEAT_MAX for what a beat may have.)
+ */
 enum { IMAGE_SHARES = 16, KNOWN_MACHINES = 4096 };
 
 static bool own_store_ok(const struct amb_node *n, amb_ms now) {
--- a/lib/round.c
+++ b/lib/round.c
@@ -87,9 +87,9 @@
     }
     if (!booting) return;
     for (struct amb_charter *c = r->n->rental.charters; c; c = c->next)
-        if (c->state == AMB_CHARTER_RECORDING || c->state == AMB_CHARTER_ASKING)
-            for (uint32_t i = 0; i < c->count && !amb_fleet_dark(r->n, c->zone); i++)
-                amb_round_add_type(r, c->type, c->zone, c->spot);
+        if ((c->state == AMB_CHARTER_RECORDING || c->state == AMB_CHARTER_ASKING) &&
+            !amb_fleet_dark(r->n, c->zone))
+            for (uint32_t i = 0; i < c->count; i++) amb_round_add_type(r, c->type, c->zone, c->spot);
 }
 
 static bool lost_before(const struct amb_job *j) {
