--- /dev/null
+++ b/tests/leader_fixture.c
@@ -0,0 +1,293 @@
+#include "leader_fixture.h"
+#include "check.h"
+#include "fake_clock.h"
+
+enum { PEERS = 2, REQUESTS = 64 };
+
+static const char PEER_LISTEN[] = "peers:1";
+
+static struct fake_reply replies[REQUESTS];
+static size_t nrequests;
+
+/* ---- requests to the node, and what it replies ---- */
+
+static void forget_replies(void) {
+    for (size_t i = 0; i < nrequests; i++) amb_buf_free(&replies[i].body);
+    nrequests = 0;
+}
+
+struct amb_http_req *new_request(const char *method, const char *path, struct amb_buf *body) {
+    assert_true(nrequests < REQUESTS);
+    struct amb_http_req *req = fake_request(method, path, body, &replies[nrequests++]);
+    if (body) amb_buf_free(body);
+    return req;
+}
+
+struct fake_reply *latest(void) {
+    assert_true(nrequests > 0);
+    return &replies[nrequests - 1];
+}
+
+size_t answers(void) {
+    size_t n = 0;
+    for (size_t i = 0; i < nrequests; i++) n += replies[i].status != 0;
+    return n;
+}
+
+const cbor_item_t *latest_map(void) {
+    static cbor_item_t *map;
+    if (map) cbor_decref(&map);
+    map = latest()->body.len ? amb_cbor_parse(latest()->body.data, latest()->body.len) : NULL;
+    return map;
+}
+
+/* ---- requests of the node ---- */
+
+struct fake_call *find_call(const char *method, const char *path) {
+    return fake_call_find(NULL, method, path);
+}
+
+struct fake_call *open_call(const char *method, const char *path) {
+    struct fake_call *call = find_call(method, path);
+    if (!call) fail_msg("no %s %s is under way", method, path);
+    return call;
+}
+
+/* ---- the node ---- */
+
+int begin(void **state) {
+    fake_http_reset();
+    fake_clock_reset();
+    forget_replies();
+    setup(state);
+    amb_ms now = amb_now();
+    strcpy(node->set.member, "n-0");
+    strcpy(node->election.member, "n-0");
+    strcpy(node->set.zone, "a");
+    strcpy(node->set.state, "state:1");
+    strcpy(node->set.cloud, "cloud:1");
+    strcpy(node->set.peer_listen, PEER_LISTEN);
+    strcpy(node->set.teams[0].name, "t");
+    node->set.npeers = PEERS;
+    for (int i = 0; i < PEERS; i++) {
+        snprintf(node->set.peers[i].member, AMB_NAME, "n-%d", i + 1);
+        snprintf(node->set.peers[i].addr, AMB_NAME, "n-%d:1", i + 1);
+    }
+    node->set.state_rps = node->set.state_write_rps = 3000;
+    node->set.cloud_rps = 100;
+    node->set.list_lag_s = 5;
+    amb_store_init(&node->store, &node->set, 1000);
+    amb_store_share(&node->store, true);
+    node->rental.calls.tokens = 100;
+    node->rental.catalog_at = now;
+    amb_catalog_zone(&node->catalog, "a");
+    amb_catalog_zone(&node->catalog, "b");
+    node->ctl.beat_s = 1;
+    node->ctl.leading_since = node->ctl.loaded_at = now;
+    node->jobs.loaded = true;
+    node->jobs.fresh_at = node->jobs.fresh_sent_at = now;
+    struct amb_election *e = &node->election;
+    e->ttl = TTL;
+    e->renewed_at = e->renew_sent_at = now;
+    e->highest = e->holder_stamp = TERM;
+    e->nonce = e->holder_nonce = 1;
+    e->key_known = true;
+    strcpy(e->holder, "n-0");
+    return 0;
+}
+
+int end(void **state) {
+    fake_answer_all_lost();
+    fake_http_reset();
+    fake_clock_reset();
+    forget_replies();
+    return teardown(state);
+}
+
+void begin_anew(void) {
+    end(NULL);
+    begin(NULL);
+}
+
+void follow(const char *leader, uint64_t term) {
+    struct amb_election *e = &node->election;
+    e->role = AMB_ROLE_FOLLOWING;
+    strcpy(e->holder, leader);
+    e->holder_stamp = e->highest = term;
+}
+
+/* ---- what the state service answers ---- */
+
+void answer_epoch(struct fake_call *call, uint64_t epoch) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 1);
+    amb_w_str(&b, "epoch");
+    amb_w_uint(&b, epoch);
+    fake_answer(call, 200, &b);
+}
+
+void answer_lease(struct fake_call *call, uint64_t lease) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 1);
+    amb_w_str(&b, "tenure");
+    amb_w_uint(&b, lease);
+    fake_answer(call, 200, &b);
+}
+
+void answer_refused(struct fake_call *call, const char *key) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 1);
+    amb_w_str(&b, "failed");
+    amb_w_list(&b, 1);
+    amb_w_str(&b, key);
+    fake_answer(call, 409, &b);
+}
+
+void answer_value(struct fake_call *call, const char *field, const char *text, uint64_t number,
+                  uint64_t stamp) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 2);
+    amb_w_str(&b, "value");
+    amb_w_map(&b, 1);
+    amb_w_str(&b, field);
+    if (text)
+        amb_w_str(&b, text);
+    else
+        amb_w_uint(&b, number);
+    amb_w_str(&b, "stamp");
+    amb_w_uint(&b, stamp);
+    fake_answer(call, 200, &b);
+}
+
+static void put_job_value(struct amb_buf *b, const char *ref, enum amb_job_state state) {
+    struct amb_spec spec = {.kind = AMB_SERVICE, .priority = AMB_HIGH, .tasks = 1, .each = {8, 1, 40}};
+    struct amb_job draft = {.spec = &spec, .accepted_wall = 1, .cancelled_wall = amb_wall_ms()};
+    strcpy(spec.ref, ref);
+    strcpy(spec.class_name, "c");
+    strcpy(spec.team, "t");
+    strcpy(spec.image, "img");
+    amb_job_value(b, &draft, state);
+}
+
+void answer_news(struct fake_call *call, uint64_t epoch, const char *ref, enum amb_job_state state,
+                 uint64_t stamp) {
+    struct amb_buf b = {0};
+    char key[AMB_NAME + 16];
+    amb_w_map(&b, 2);
+    amb_w_str(&b, "epoch");
+    amb_w_uint(&b, epoch);
+    amb_w_str(&b, "news");
+    amb_w_list(&b, ref ? 1 : 0);
+    if (ref) {
+        amb_job_key(key, sizeof key, ref);
+        amb_w_map(&b, 3);
+        amb_w_str(&b, "put");
+        amb_w_str(&b, key);
+        amb_w_str(&b, "value");
+        put_job_value(&b, ref, state);
+        amb_w_str(&b, "stamp");
+        amb_w_uint(&b, stamp);
+    }
+    fake_answer(call, 200, &b);
+}
+
+/* ---- workers' reports, over HTTP ---- */
+
+struct amb_http_req *send_report(struct sent_report r) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 9);
+    amb_w_str(&b, "rig"), amb_w_str(&b, r.machine);
+    amb_w_str(&b, "address"), amb_w_str(&b, "worker:1");
+    amb_w_str(&b, "hull"), amb_w_str(&b, "g8");
+    amb_w_str(&b, "yard"), amb_w_str(&b, r.zone ? r.zone : "a");
+    amb_w_str(&b, "driftwood"), amb_w_bool(&b, false);
+    amb_w_str(&b, "watch"), amb_w_uint(&b, r.session);
+    amb_w_str(&b, "tally"), amb_w_uint(&b, r.seq);
+    amb_w_str(&b, "baton"), amb_w_uint(&b, r.token);
+    amb_w_str(&b, "legs"), amb_w_list(&b, r.task ? 1 : 0);
+    if (r.task) {
+        amb_w_map(&b, 3);
+        amb_w_str(&b, "leg"), amb_w_str(&b, r.task);
+        amb_w_str(&b, "try"), amb_w_uint(&b, r.attempt);
+        amb_w_str(&b, "stance"), amb_w_str(&b, r.stance);
+    }
+    struct amb_http_req *req = new_request("POST", "/hello", &b);
+    assert_true(amb_fleet_request(node, req));
+    return req;
+}
+
+size_t orders_in(const cbor_item_t *body, const char *verb) {
+    const cbor_item_t *list = amb_cbor_get(body, "orders");
+    size_t n = 0;
+    for (size_t i = 0; i < amb_cbor_len(list); i++)
+        n += amb_cbor_eq(amb_cbor_get(amb_cbor_at(list, i), "verb"), verb);
+    return n;
+}
+
+size_t replied_orders(const char *verb) {
+    return orders_in(latest_map(), verb);
+}
+
+uint64_t replied_token(void) {
+    uint64_t token = 0;
+    amb_cbor_uint(amb_cbor_get(latest_map(), "baton"), &token);
+    return token;
+}
+
+/* ---- machines ---- */
+
+struct amb_machine *machine_in(const char *name, int zone) {
+    struct amb_machine *m = amb_machine_get(node, name, true);
+    m->type = 0;
+    m->zone = zone;
+    return m;
+}
+
+struct amb_machine *machine_up(const char *name, int zone) {
+    struct amb_machine *m = machine_in(name, zone);
+    m->state = AMB_MACHINE_UP;
+    m->token_shown = true;
+    m->reported_at = m->answered_at = amb_now();
+    strcpy(m->addr, "worker:1");
+    return m;
+}
+
+/* ---- peers ---- */
+
+static struct amb_buf said_text(int peer, struct said said) {
+    struct amb_buf b = {0};
+    amb_buf_fmt(&b,
+                "{\"from\":\"n-%d\",\"loaded\":%s,\"term\":%llu,\"leading\":%s,\"store\":true,"
+                "\"reports_arrive\":false,\"cancelled\":[%s]}",
+                peer + 1, said.unloaded ? "false" : "true", (unsigned long long)said.term,
+                said.leading ? "true" : "false", said.cancelled ? said.cancelled : "");
+    return b;
+}
+
+void peer_answers(int peer, struct said said) {
+    struct amb_buf b = said_text(peer, said);
+    fake_answer(fake_call_find(node->set.peers[peer].addr, "POST", "/peer/heartbeat"), 200, &b);
+}
+
+void peer_speaks(int peer, struct said said) {
+    struct amb_buf b = said_text(peer, said);
+    fake_serve(PEER_LISTEN, new_request("POST", "/peer/heartbeat", &b));
+}
+
+void ask_peers(void) {
+    amb_peer_init(node);
+}
+
+/* ---- records ---- */
+
+struct fake_call *begin_block(void) {
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    j->stamp = 20;
+    j->blocks[0].stamp = 33;
+    machine_up("m-1", 0);
+    struct amb_task *t = bound(j, 0, "m-1", 1);
+    t->state = AMB_TASK_PLACED;
+    amb_record_dirty(node, t, true);
+    amb_record_pump(node);
+    return open_call("POST", "/commit");
+}
--- /dev/null
+++ b/tests/leader_fixture.h
@@ -0,0 +1,104 @@
+/* A node whose messages a test answers: n-0 in zone a, leading under TERM, with two peers that it has heard
+ * of before. Its clock and HTTP are the test's own (fake_clock.h, fake_http.h); the state service, the cloud,
+ * the workers and the peers answer when the test says so. Link it beside node_fixture.c, fake_clock.c and
+ * fake_http.c. */
+#ifndef AMBERPIN_TESTS_LEADER_FIXTURE_H
+#define AMBERPIN_TESTS_LEADER_FIXTURE_H
+
+#include "fake_http.h"
+#include "node_fixture.h"
+
+enum { TTL = 3000 }; /* the leader's lease, in ms */
+
+#define LEADER_KEY "a/leader"
+#define BLOCK_KEY "b/p/wk-1/00000"
+
+/* ---- the node ---- */
+
+/* As cmocka wants them. Also ends what setup() of node_fixture.h began, once every request under way is lost.
+ */
+int begin(void **state);
+int end(void **state);
+/* A fresh node in mid-test, for the next row of a table. */
+void begin_anew(void);
+/* Another node leads, as far as is known: under this term. */
+void follow(const char *leader, uint64_t term);
+
+/* ---- requests to the node, and what it replies ---- */
+
+/* A request to the node, whose reply will be the latest. Frees the body. */
+struct amb_http_req *new_request(const char *method, const char *path, struct amb_buf *body);
+/* The reply to the latest request; status 0: none yet. */
+struct fake_reply *latest(void);
+/* Its body; good until the next is asked for. */
+const cbor_item_t *latest_map(void);
+/* How many requests have been replied to. */
+size_t answers(void);
+
+/* ---- requests of the node ---- */
+
+/* The oldest that is unanswered; NULL: there is none. */
+struct fake_call *find_call(const char *method, const char *path);
+/* The same; the test fails if there is none. */
+struct fake_call *open_call(const char *method, const char *path);
+
+/* ---- what the state service answers ---- */
+
+/* A transaction was carried out. */
+void answer_epoch(struct fake_call *call, uint64_t epoch);
+/* A lease was granted or renewed. */
+void answer_lease(struct fake_call *call, uint64_t lease);
+/* A transaction was refused, for the guard on this key. */
+void answer_refused(struct fake_call *call, const char *key);
+/* A value that holds one field (a text, or else a number), as it is read back. */
+void answer_value(struct fake_call *call, const char *field, const char *text, uint64_t number,
+                  uint64_t stamp);
+/* News of one job, or (ref NULL) none. */
+void answer_news(struct fake_call *call, uint64_t epoch, const char *ref, enum amb_job_state state,
+                 uint64_t stamp);
+
+/* ---- workers' reports, over HTTP ---- */
+
+struct sent_report {
+    const char *machine, *zone;
+    uint64_t session, seq, token;
+    const char *task; /* NULL: lists none */
+    uint64_t attempt;
+    const char *stance;
+};
+
+struct amb_http_req *send_report(struct sent_report r);
+/* How many orders with this verb a body holds; the same of the latest reply. */
+size_t orders_in(const cbor_item_t *body, const char *verb);
+size_t replied_orders(const char *verb);
+/* The token that the latest reply gives the worker. */
+uint64_t replied_token(void);
+
+/* ---- machines ---- */
+
+/* A machine of the zone that has not reported yet. */
+struct amb_machine *machine_in(const char *name, int zone);
+/* A machine of the zone that has shown our token and has just been answered. */
+struct amb_machine *machine_up(const char *name, int zone);
+
+/* ---- peers ---- */
+
+struct said { /* what a peer says of itself */
+    uint64_t term;
+    bool leading, unloaded;
+    const char *cancelled; /* NULL: nothing */
+};
+
+/* A question to each peer is under way. */
+void ask_peers(void);
+/* The peer (0 or 1) answers the node's question. */
+void peer_answers(int peer, struct said said);
+/* The peer sends a message of its own. */
+void peer_speaks(int peer, struct said said);
+
+/* ---- records ---- */
+
+/* A task is placed and its record sent: the transaction. */
+struct fake_call *begin_block(void);
+
+#endif
--- /dev/null
+++ b/tests/test_absence_proofs.c
@@ -0,0 +1,330 @@
+/* What proves to a leader that a task is off its machine: reports, leases, returns and lists. test_absence.c
+ * looks at the decisions alone. */
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+static void usage_counts_until_absence(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_ARRAY, 2);
+    struct amb_team *team = &node->set.teams[0];
+    bound(j, 0, "m-1", 1);
+    bound(j, 1, "m-1", 2);
+    struct amb_machine *m = amb_machine_get(node, "m-1", false);
+    assert_true(team->used.gpus == 2 && m->used.gpus == 2);
+    amb_task_halt(node, &j->tasks[0], 0, "test");
+    assert_true(team->used.gpus == 2);
+    amb_task_unbind(node, &j->tasks[0], "test");
+    assert_true(team->used.gpus == 1 && m->used.gpus == 1);
+}
+
+/* ---- by the end of a lease ---- */
+
+/* Silence proves absence only after the lease, only of a machine that has shown our token, only on the word
+ * of a read sent after the lease was over, and only when no deputy may have answered the machine since. */
+static void silence(void **state) {
+    (void)state;
+    static const struct {
+        uint64_t token;
+        amb_ms silent, read,
+            deputy; /* after the answer; read -1: none; deputy -1: none, else when last known */
+        bool absent;
+    } rows[] = {
+        {TERM, 9000, 9000, -1, false},       {TERM, 10000, 10000, -1, false},  {TERM, 11000, 11000, -1, true},
+        {TERM - 1, 11000, 11000, -1, false}, {TERM, 11000, 9000, -1, false},   {TERM, 11000, -1, -1, false},
+        {TERM, 11000, 11000, 5000, false},   {TERM, 16000, 16000, 5000, true},
+    };
+    node->peers.count = 1; /* which has not heeded our term: it may answer whoever has not shown our token */
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_job *j = add_job(i ? (char[]){'w', 'k', '-', (char)('0' + i), 0} : "wk-0", AMB_SERVICE, 1);
+        char name[16];
+        snprintf(name, sizeof name, "m-%zu", i);
+        struct amb_task *t = bound(j, 0, name, 1);
+        struct amb_seen seen = listing(j->ref, 0, 1, AMB_ON_RUNNING, AMB_WHY_NONE);
+        amb_ms now = amb_now();
+        node->ctl.leading_since = now;
+        assert_true(report(name, 1, 1, rows[i].token, now, &seen, 1));
+        node->jobs.fresh_sent_at = rows[i].read < 0 ? 0 : now + rows[i].read;
+        node->jobs.syncing = true; /* the read that would be asked for is not under test */
+        int zone = amb_catalog_zone(&node->catalog, "a");
+        node->deputy.zone_at[zone] = rows[i].deputy < 0 ? 0 : now + rows[i].deputy;
+        amb_fleet_tick(node, now + rows[i].silent);
+        if ((t->machine == NULL) != rows[i].absent) fail_msg("row %zu", i);
+    }
+}
+
+/* Any 200 may be taken as a renewal, also one that answers what turns out to be a late copy. */
+static void answering_a_copy_counts_as_renewal(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    struct amb_task *t = bound(j, 0, "m-1", 1);
+    struct amb_seen seen = listing("wk-1", 0, 1, AMB_ON_RUNNING, AMB_WHY_NONE);
+    amb_ms now = amb_now();
+    assert_true(report("m-1", 1, 2, TERM, now, &seen, 1));
+    assert_true(report("m-1", 1, 1, TERM, now + 6000, &seen, 1));
+    node->jobs.fresh_sent_at = now + 20000;
+    amb_fleet_tick(node, now + 11000);
+    assert_non_null(t->machine);
+    amb_fleet_tick(node, now + 17000);
+    assert_null(t->machine);
+}
+
+/* A lease of 10 s, on a clock that may be 1% off, and a quarter report period for work under way. */
+static void leases_end_a_little_later_than_they_should(void **state) {
+    (void)state;
+    static const struct {
+        amb_ms silent;
+        bool absent;
+    } rows[] = {{10050, false}, {10300, false}, {10400, true}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        machine_up("m-1", 0);
+        bound(j, 0, "m-1", 1)->state = AMB_TASK_SEEN;
+        fake_clock_advance(rows[i].silent);
+        node->jobs.fresh_sent_at = amb_now();
+        amb_fleet_tick(node, amb_now());
+        if ((j->tasks[0].machine == NULL) != rows[i].absent)
+            fail_msg("after %lld ms: %s", (long long)rows[i].silent,
+                     rows[i].absent ? "still counted" : "taken as absent");
+    }
+}
+
+/* A machine that never showed our token is proven to have lost its tasks once no other node can have answered
+ * it for a lease: else they once waited for it to be returned. */
+static void unproven_machine_on_every_peers_word(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        amb_ms quiet, answered, news; /* how long ago */
+        uint64_t heeds;               /* the term that the peer has heeded */
+        bool lost;
+    } rows[] = {
+        {"for longer than a lease", 12000, 90000, 500, TERM, true},
+        {"not for a lease yet", 9000, 90000, 500, TERM, false},
+        {"a peer knows an older term only", 12000, 90000, 500, TERM - 1, false},
+        {"we have answered it since", 12000, 5000, 500, TERM, false},
+        {"news are older than the lease's end", 12000, 90000, 3000, TERM, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        end(NULL);
+        setup(NULL);
+        amb_ms now = amb_now() + 1000000;
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        struct amb_task *t = bound(j, 0, "m-1", 1);
+        struct amb_machine *m = amb_machine_get(node, "m-1", false);
+        m->type = m->zone = 0;
+        m->known_at = m->first_at = now - 20000;
+        m->answered_at = now - rows[i].answered;
+        node->ctl.leading_since = now - 20000;
+        node->jobs.fresh_sent_at = now - rows[i].news;
+        node->jobs.syncing = true; /* no call goes out */
+        node->peers.count = 1;
+        node->peers.list[0].quiet_term = rows[i].heeds;
+        node->peers.list[0].quiet_at = now - rows[i].quiet;
+        amb_fleet_tick(node, now);
+        if ((t->state == AMB_TASK_WAITING) != rows[i].lost) fail_msg("%s", rows[i].what);
+    }
+}
+
+/* ---- by a return or a list ---- */
+
+static void returns_count_once_they_are_answered(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    struct amb_machine *m = machine_up("m-1", 0);
+    bound(j, 0, "m-1", 1);
+    amb_rental_release(node, m, "test");
+    amb_rental_tick(node, amb_now());
+    fake_answer(open_call("POST", "/machines/release"), 0, NULL);
+    if (!j->tasks[0].machine) fail_msg("taken as absent though the return was not answered");
+    fake_clock_advance(500);
+    amb_rental_tick(node, amb_now());
+    fake_answer(open_call("POST", "/machines/release"), 200, NULL);
+    assert_null(j->tasks[0].machine);
+}
+
+/* A page of the cloud's list: one machine, or none (name NULL). */
+static void answer_list(struct fake_call *call, const char *name, const char *stance, bool truncated) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 2);
+    amb_w_str(&b, "rigs"), amb_w_list(&b, name ? 1 : 0);
+    if (name) {
+        amb_w_map(&b, 2);
+        amb_w_str(&b, "ref"), amb_w_str(&b, name);
+        amb_w_str(&b, "stance"), amb_w_str(&b, stance);
+    }
+    amb_w_str(&b, "truncated"), amb_w_bool(&b, truncated);
+    fake_answer(call, 200, &b);
+}
+
+/* Lists lag by 5 s, at times by twice that; 2.2 lags and a report period are 12 s. */
+static void what_lists_prove(void **state) {
+    (void)state;
+    enum { NEVER = -1 };
+    static const struct {
+        const char *what;
+        amb_ms known, reported, listed; /* how long before the list was asked for */
+        amb_ms takes;                   /* the list, to come */
+        const char *stance;             /* NULL: it does not name the machine */
+        bool absent;
+    } rows[] = {
+        {"known and listed long ago, and left out", 60000, 60000, 60000, 0, NULL, true},
+        {"never listed, and known long ago", 60000, NEVER, NEVER, 0, NULL, true},
+        {"known of late", 11000, NEVER, NEVER, 0, NULL, false},
+        {"reported of late", 60000, 11000, 60000, 0, NULL, false},
+        {"listed of late", 60000, 60000, 11000, 0, NULL, false},
+        {"the list comes late", 60000, 11000, 60000, 2500, NULL, false},
+        {"listed as running", 60000, 60000, 60000, 0, "running", false},
+        {"listed as failed", 60000, 60000, 60000, 0, "failed", true},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        struct amb_machine *m = machine_up("m-1", 0);
+        bound(j, 0, "m-1", 1);
+        amb_ms now = amb_now();
+        m->known_at = m->first_at = now - rows[i].known;
+        m->reported_at = rows[i].reported == NEVER ? 0 : now - rows[i].reported;
+        m->listed_at = rows[i].listed == NEVER ? 0 : now - rows[i].listed;
+        amb_rental_tick(node, now);
+        fake_clock_advance(rows[i].takes);
+        answer_list(open_call("GET", "/machines"), rows[i].stance ? "m-1" : NULL, rows[i].stance, false);
+        amb_fleet_tick(node, amb_now());
+        if ((j->tasks[0].machine == NULL) != rows[i].absent)
+            fail_msg("%s: %s", rows[i].what, rows[i].absent ? "still counted" : "taken as absent");
+    }
+}
+
+/* A list that is not whole leaves nothing out. */
+static void parts_of_lists_prove_nothing(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        int status; /* of the second page */
+        bool absent;
+    } rows[] = {
+        {"all pages come", 200, true}, {"the last page is refused", 503, false}, {"no answer", 0, false}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        struct amb_machine *m = machine_up("m-1", 0);
+        bound(j, 0, "m-1", 1);
+        m->known_at = m->first_at = m->reported_at = amb_now() - 60000;
+        amb_rental_tick(node, amb_now());
+        answer_list(open_call("GET", "/machines"), "m-0", "running", true);
+        if (!j->tasks[0].machine) fail_msg("taken as absent though more of the list is to come");
+        struct fake_call *second = open_call("GET", "/machines?after=m-0");
+        if (rows[i].status == 200)
+            answer_list(second, NULL, NULL, false);
+        else
+            fake_answer(second, rows[i].status, NULL);
+        if ((j->tasks[0].machine == NULL) != rows[i].absent)
+            fail_msg("%s: %s", rows[i].what, rows[i].absent ? "still counted" : "taken as absent");
+    }
+}
+
+/* ---- machines that have not shown our token ---- */
+
+/* What is on a machine may be on record, and the record not read yet. */
+static void nothing_is_concluded_before_the_records_are_read(void **state) {
+    (void)state;
+    node->ctl.loaded_at = 0;
+    struct sent_report r = {"m-1", "a", 1, 1, TERM, "wk-1/0", 1, "running"};
+    send_report(r);
+    assert_int_equal(latest()->status, 200);
+    if (replied_orders("halt")) fail_msg("a task that is not known yet is told to stop");
+    r.seq++;
+    r.stance = "exited";
+    send_report(r);
+    if (replied_orders("clear")) fail_msg("the result of a task that is not known yet is cleared");
+}
+
+static void unproven_machines_are_sought_with_the_token_alone(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    struct amb_machine *m = machine_in("m-1", 0);
+    strcpy(m->addr, "worker:1");
+    bound(j, 0, "m-1", 1);
+    node->peers.count = 1; /* which may still answer it */
+    fake_clock_advance(2500);
+    amb_fleet_tick(node, amb_now());
+    struct amb_buf b = {0};
+    amb_w_map(&b, 1);
+    amb_w_str(&b, "watch"), amb_w_uint(&b, 3);
+    fake_answer(open_call("GET", "/inspect"), 200, &b);
+    struct fake_call *commands = open_call("POST", "/commands");
+    assert_non_null(commands);
+    uint64_t token = 0, session = 0;
+    amb_cbor_uint(amb_cbor_get(commands->map, "baton"), &token);
+    amb_cbor_uint(amb_cbor_get(commands->map, "watch"), &session);
+    assert_int_equal(token, TERM);
+    assert_int_equal(session, 3);
+    assert_int_equal(amb_cbor_len(amb_cbor_get(commands->map, "orders")), 0);
+    fake_clock_advance(12000);
+    node->election.renewed_at = amb_now();
+    amb_fleet_tick(node, amb_now());
+    assert_false(m->release_wanted);
+    fake_clock_advance(1000);
+    node->election.renewed_at = amb_now();
+    amb_fleet_tick(node, amb_now());
+    if (!m->release_wanted) fail_msg("not returned after more than 1.5 leases");
+}
+
+/* A machine whose reports come, but which never takes our token: deaf since before we led. */
+static void machine_that_does_not_hear(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        uint64_t token;
+        bool has_task, deputy;
+        amb_ms since, loaded, reported; /* how long ago: it became unproven, records were read, it reported */
+        bool returned;
+    } rows[] = {
+        {"a task there, just within 1.5 leases", TERM - 1, true, false, 15000, 60000, 100, false},
+        {"a task there, beyond 1.5 leases", TERM - 1, true, false, 15001, 60000, 100, true},
+        {"a task there, records read since", TERM - 1, true, false, 60000, 15000, 100, false},
+        {"nothing there, within 3 leases", TERM - 1, false, false, 30000, 60000, 100, false},
+        {"nothing there, beyond 3 leases", TERM - 1, false, false, 30001, 60000, 100, true},
+        {"it has taken our token", TERM, true, false, 60000, 60000, 100, false},
+        {"a deputy answers it", TERM - 1, true, true, 60000, 60000, 100, false},
+        {"it has not reported lately", TERM - 1, true, false, 60000, 60000, 2001, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        end(NULL);
+        setup(NULL);
+        amb_ms now = amb_now() + 1000000;
+        node->election.renewed_at = node->ctl.leading_since = now; /* silent machines are not under test */
+        node->peers.count = 1;                                     /* which has not heeded our term */
+        node->deputy.nknown = 1;
+        node->deputy.known[0].present = rows[i].deputy;
+        node->deputy.known[0].zone = amb_catalog_zone(&node->catalog, "a");
+        if (rows[i].has_task) bound(add_job("wk-1", AMB_SERVICE, 1), 0, "m-1", 1);
+        node->ctl.ready = false; /* nothing is ordered */
+        assert_true(report("m-1", 1, 1, rows[i].token, now - rows[i].reported, NULL, 0));
+        struct amb_machine *m = amb_machine_get(node, "m-1", false);
+        m->state_at = now - rows[i].since;
+        node->ctl.loaded_at = now - rows[i].loaded;
+        node->jobs.syncing = true;
+        amb_fleet_tick(node, now);
+        if (m->release_wanted != rows[i].returned) fail_msg("%s", rows[i].what);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(usage_counts_until_absence, setup, end),
+        cmocka_unit_test_setup_teardown(silence, setup, end),
+        cmocka_unit_test_setup_teardown(answering_a_copy_counts_as_renewal, setup, end),
+        cmocka_unit_test_setup_teardown(leases_end_a_little_later_than_they_should, begin, end),
+        cmocka_unit_test_setup_teardown(unproven_machine_on_every_peers_word, setup, end),
+        cmocka_unit_test_setup_teardown(returns_count_once_they_are_answered, begin, end),
+        cmocka_unit_test_setup_teardown(what_lists_prove, begin, end),
+        cmocka_unit_test_setup_teardown(parts_of_lists_prove_nothing, begin, end),
+        cmocka_unit_test_setup_teardown(nothing_is_concluded_before_the_records_are_read, begin, end),
+        cmocka_unit_test_setup_teardown(unproven_machines_are_sought_with_the_token_alone, begin, end),
+        cmocka_unit_test_setup_teardown(machine_that_does_not_hear, setup, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_cancellation.c
@@ -0,0 +1,48 @@
+/* Tasks of cancelled jobs: told to stop until they are gone, also by the next leader. */
+#include "check.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+static void cancelled_tasks_that_stay_cost_their_machine(void **state) {
+    (void)state;
+    static const struct {
+        amb_ms cancelled; /* how long ago; cancel_s is 30 */
+        bool returned;
+    } rows[] = {{17900, false}, {18100, true}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        struct amb_machine *m = machine_up("m-1", 0);
+        bound(j, 0, "m-1", 1)->state = AMB_TASK_SEEN;
+        amb_job_cancel_hint(node, "wk-1", amb_wall_ms() - rows[i].cancelled, 61);
+        amb_fleet_tick(node, amb_now());
+        if (m->release_wanted != rows[i].returned)
+            fail_msg("cancelled %lld ms ago: returned %d", (long long)rows[i].cancelled, m->release_wanted);
+    }
+}
+
+static void new_leaders_stop_what_was_cancelled(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    machine_up("m-1", 0);
+    bound(j, 0, "m-1", 1);
+    struct amb_buf b = {0};
+    amb_record_encode(node, &j->blocks[0], &b);
+    cbor_item_t *value = amb_cbor_parse(b.data, b.len);
+    amb_job_leave(node, j);
+    amb_fleet_clear(node);
+    j->state = AMB_JOB_CANCELLED;
+    amb_record_load(node, BLOCK_KEY, value, 61);
+    cbor_decref(&value);
+    amb_buf_free(&b);
+    send_report((struct sent_report){"m-1", "a", 1, 1, TERM, "wk-1/0", 1, "running"});
+    if (replied_orders("halt") != 1) fail_msg("not told to stop");
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(cancelled_tasks_that_stay_cost_their_machine, begin, end),
+        cmocka_unit_test_setup_teardown(new_leaders_stop_what_was_cancelled, begin, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_deputies.c
@@ -0,0 +1,157 @@
+/* Deputies: which workers a deputy answers and when, and what a leader makes of it. */
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+/* The leader n-1 is silent, and news are fresh: the node stands in for it in zone a. */
+static struct fake_call *begin_deputy(void) {
+    follow("n-1", TERM);
+    node->peers.count = 1;
+    strcpy(node->peers.list[0].member, "n-1");
+    node->peers.list[0].heard_at = amb_now() - 10000;
+    amb_deputy_tick(node, amb_now());
+    answer_lease(open_call("POST", "/leases"), 9);
+    return open_call("POST", "/commit");
+}
+
+static void deputies_write_before_they_answer(void **state) {
+    (void)state;
+    struct fake_call *commit = begin_deputy();
+    uint64_t lease = 0, zone_term = 0;
+    if (fake_txn_guard(commit, LEADER_KEY) != TERM) fail_msg("no guard on the leader's term");
+    const cbor_item_t *value = fake_txn_put(commit, "a/deputy/n-0", &lease);
+    assert_true(amb_cbor_uint(amb_cbor_get(value, "term"), &zone_term));
+    assert_int_equal(zone_term, TERM);
+    if (lease != 9) fail_msg("the key is on lease %llu", (unsigned long long)lease);
+    struct sent_report r = {.machine = "m-1", .session = 1, .seq = 1, .token = TERM};
+    send_report(r);
+    if (latest()->status != 421) fail_msg("answered %d before the key is written", latest()->status);
+    answer_epoch(commit, 60);
+    send_report(r);
+    assert_int_equal(latest()->status, 200);
+    assert_int_equal(replied_token(), TERM);
+    assert_int_equal(amb_cbor_len(amb_cbor_get(latest_map(), "orders")), 0);
+}
+
+static void whom_deputies_answer(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *zone;
+        uint64_t token, highest;
+        amb_ms renewed; /* how long ago */
+        int status;
+    } rows[] = {
+        {"a worker of its zone", "a", TERM, TERM, 0, 200},
+        {"a worker that holds an older token", "a", TERM - 1, TERM, 0, 200},
+        {"a worker of another zone", "b", TERM, TERM, 0, 421},
+        {"a worker that knows a newer term", "a", TERM + 1, TERM, 0, 421},
+        {"the node has heard of a newer term", "a", TERM, TERM + 1, 0, 421},
+        {"its lease is almost over", "a", TERM, TERM, 2699, 200},
+        {"its lease may be over", "a", TERM, TERM, 2700, 421},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        answer_epoch(begin_deputy(), 60);
+        node->election.highest = rows[i].highest;
+        node->deputy.renewed_at = amb_now() - rows[i].renewed;
+        send_report((struct sent_report){"m-1", rows[i].zone, 1, 1, rows[i].token, NULL, 0, NULL});
+        if (latest()->status != rows[i].status) fail_msg("%s: answered %d", rows[i].what, latest()->status);
+    }
+}
+
+static void deputys_lease_counts_from_when_it_was_asked_for(void **state) {
+    (void)state;
+    answer_epoch(begin_deputy(), 60);
+    fake_clock_advance(TTL / 4);
+    amb_deputy_tick(node, amb_now());
+    struct fake_call *renewal = open_call("POST", "/leases/9/extend");
+    fake_clock_advance(1000);
+    answer_lease(renewal, 9);
+    struct sent_report r = {.machine = "m-1", .session = 1, .seq = 1, .token = TERM};
+    fake_clock_advance(1699);
+    send_report(r);
+    assert_int_equal(latest()->status, 200);
+    fake_clock_advance(1);
+    send_report(r);
+    if (latest()->status != 421) fail_msg("answered %d a lease after the renewal was sent", latest()->status);
+}
+
+/* News: n-1 stands in for the leader in zone a. */
+static void deputy_key_appears(void) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 1);
+    amb_w_str(&b, "zone");
+    amb_w_str(&b, "a");
+    cbor_item_t *value = amb_cbor_parse(b.data, b.len);
+    amb_deputy_key(node, "n-1", value, 55);
+    amb_buf_free(&b);
+    cbor_decref(&value);
+}
+
+/* As long as the deputy's key stands its workers may be alive, however long they are silent here. */
+static void known_deputies_keep_their_zone_alive(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    machine_up("m-1", 0);
+    struct amb_task *t = bound(j, 0, "m-1", 1);
+    t->state = AMB_TASK_SEEN;
+    deputy_key_appears();
+    for (int i = 0; i < 30; i++) {
+        fake_clock_advance(1000);
+        node->jobs.fresh_at = node->jobs.fresh_sent_at = amb_now();
+        amb_deputy_tick(node, amb_now());
+        amb_fleet_tick(node, amb_now());
+        if (!t->machine) fail_msg("lost after %d s, while the deputy's key stands", i + 1);
+    }
+    amb_deputy_key(node, "n-1", NULL, 56);
+    fake_clock_advance(11000);
+    node->jobs.fresh_sent_at = amb_now();
+    amb_fleet_tick(node, amb_now());
+    assert_null(t->machine);
+}
+
+/* A deputy that came and went within a moment may have answered its zone's workers. */
+static void short_deputies_count(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    machine_up("m-1", 0);
+    bound(j, 0, "m-1", 1)->state = AMB_TASK_SEEN;
+    fake_clock_advance(8000);
+    deputy_key_appears();
+    amb_deputy_key(node, "n-1", NULL, 56);
+    fake_clock_advance(9000);
+    node->jobs.fresh_sent_at = amb_now();
+    amb_fleet_tick(node, amb_now());
+    if (!j->tasks[0].machine) fail_msg("lost less than a lease after a deputy was known");
+    fake_clock_advance(2000);
+    node->jobs.fresh_sent_at = amb_now();
+    amb_fleet_tick(node, amb_now());
+    assert_null(j->tasks[0].machine);
+}
+
+/* Nor is it known, of a machine whose zone is not, whether a deputy answers it. */
+static void deputies_of_any_zone_count_for_unknown_ones(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    machine_up("m-1", -1);
+    bound(j, 0, "m-1", 1)->state = AMB_TASK_SEEN;
+    fake_clock_advance(8000);
+    deputy_key_appears();
+    fake_clock_advance(9000);
+    node->jobs.fresh_sent_at = amb_now();
+    amb_fleet_tick(node, amb_now());
+    if (!j->tasks[0].machine) fail_msg("lost less than a lease after a deputy was known");
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(deputies_write_before_they_answer, begin, end),
+        cmocka_unit_test_setup_teardown(whom_deputies_answer, begin, end),
+        cmocka_unit_test_setup_teardown(deputys_lease_counts_from_when_it_was_asked_for, begin, end),
+        cmocka_unit_test_setup_teardown(known_deputies_keep_their_zone_alive, begin, end),
+        cmocka_unit_test_setup_teardown(short_deputies_count, begin, end),
+        cmocka_unit_test_setup_teardown(deputies_of_any_zone_count_for_unknown_ones, begin, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_gangs.c
@@ -0,0 +1,232 @@
+/* Gangs and jobs of one zone: one attempt at a time, all tasks or none, and the room that is made for them.
+ */
+#include "amberpin/round.h"
+#include "amberpin/wdrr.h"
+#include "check.h"
+#include "leader_fixture.h"
+
+static void gangs(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_GANG, 2);
+    struct amb_task *a = bound(j, 0, "m-1", 1), *b = bound(j, 1, "m-2", 1);
+    amb_gang_state(j, AMB_GANG_STARTING, "placed");
+    /* All or none: one record not durable yet keeps the other task waiting too. */
+    b->state = AMB_TASK_PLACED;
+    report("m-1", 1, 1, TERM, amb_now(), NULL, 0);
+    assert_int_equal(count_orders(AMB_OP_RUN), 0);
+    b->state = AMB_TASK_BOUND;
+    report("m-1", 1, 2, TERM, amb_now(), NULL, 0);
+    assert_int_equal(count_orders(AMB_OP_RUN), 1);
+    struct amb_seen sa = listing("wk-1", 0, 1, AMB_ON_RUNNING, AMB_WHY_NONE);
+    struct amb_seen sb = listing("wk-1", 1, 1, AMB_ON_RUNNING, AMB_WHY_NONE);
+    report("m-1", 1, 3, TERM, amb_now(), &sa, 1);
+    report("m-2", 1, 3, TERM, amb_now(), &sb, 1);
+    assert_int_equal(j->gang, AMB_GANG_RUNNING);
+    /* One task is lost: the other is told to stop, and nothing starts before it is gone. */
+    report("m-2", 2, 1, TERM, amb_now(), NULL, 0);
+    assert_int_equal(j->gang, AMB_GANG_TEARING);
+    assert_null(b->machine);
+    assert_non_null(a->machine);
+    report("m-1", 1, 4, TERM, amb_now(), &sa, 1);
+    assert_int_equal(count_orders(AMB_OP_HALT), 1);
+    sa.on = AMB_ON_EXITED;
+    sa.why = AMB_WHY_PEERS;
+    report("m-1", 1, 5, TERM, amb_now(), &sa, 1);
+    assert_int_equal(j->gang, AMB_GANG_IDLE);
+    assert_int_equal(j->nbound, 0);
+}
+
+/* A gang's tasks on one machine all go when one of them tears the attempt down in mid-report. */
+static void gang_on_one_machine(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_GANG, 3);
+    struct amb_seen s[3];
+    for (uint32_t i = 0; i < 3; i++) {
+        bound(j, i, "m-1", 1);
+        s[i] = listing("wk-1", i, 1, AMB_ON_RUNNING, AMB_WHY_NONE);
+    }
+    amb_gang_state(j, AMB_GANG_STARTING, "placed");
+    report("m-1", 1, 1, TERM, amb_now(), s, 3);
+    assert_int_equal(j->gang, AMB_GANG_RUNNING);
+    report("m-1", 2, 1, TERM, amb_now(), NULL, 0);
+    assert_int_equal(j->nbound, 0);
+    assert_int_equal(j->gang, AMB_GANG_IDLE);
+}
+
+static void gangs_have_one_attempt(void **state) {
+    (void)state;
+    amb_wdrr_prepare(node->set.teams, 1, true);
+    amb_wdrr_refill(node->set.teams, 1, 1000);
+    machine_up("m-1", 0);
+    machine_up("m-2", 0);
+    struct amb_job *j = add_job("wk-1", AMB_GANG, 2);
+    j->spec->each.gpus = 8;
+    struct amb_round *r = amb_round_new(node, amb_now());
+    amb_round_admit(r);
+    amb_round_free(r);
+    assert_int_equal(j->nbound, 2);
+    if (j->tasks[0].attempt != j->tasks[1].attempt)
+        fail_msg("attempts %llu and %llu", (unsigned long long)j->tasks[0].attempt,
+                 (unsigned long long)j->tasks[1].attempt);
+    assert_true(j->next_attempt > j->tasks[0].attempt);
+    assert_true(node->set.teams[0].used.gpus == 16); /* debited, though no record is written yet */
+}
+
+static void gangs_start_anew_when_all_are_gone(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        enum amb_gang_state gang;
+        bool one_left, starts;
+    } rows[] = {
+        {"all are gone", AMB_GANG_IDLE, false, true},
+        {"one is left of a failed attempt", AMB_GANG_TEARING, true, false},
+        {"one is left, found by a new leader", AMB_GANG_IDLE, true, false},
+        {"an attempt is under way", AMB_GANG_STARTING, false, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct amb_job *j = add_job("wk-1", AMB_GANG, 2);
+        machine_up("m-1", 0);
+        if (rows[i].one_left) bound(j, 0, "m-1", 1);
+        j->gang = rows[i].gang;
+        struct amb_round *r = amb_round_new(node, amb_now());
+        bool starts = amb_round_wants_start(r, j);
+        amb_round_free(r);
+        if (starts != rows[i].starts) fail_msg("%s: starts %d", rows[i].what, starts);
+    }
+}
+
+static void old_tasks_bind_the_zone(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 2);
+    j->spec->one_zone = true;
+    machine_up("m-1", 1);
+    bound(j, 0, "m-1", 1);
+    struct amb_round *r = amb_round_new(node, amb_now());
+    struct amb_wish wish;
+    amb_round_wish(r, j, &wish);
+    amb_round_free(r);
+    if (wish.zone != 1) fail_msg("may start in zone %d", wish.zone);
+}
+
+/* Room for a gang that its team is guaranteed: what another team runs beyond its own guarantee makes way, on
+ * all machines that it takes or on none. (Gangs once waited for machines to boot while such work ran on.) */
+static void gangs_make_room(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        uint32_t tasks;
+        double guaranteed; /* to the gang's team; the other has 4 */
+        double checkpoint_s;
+        bool preempt, room;
+        uint32_t stopped;
+        bool starts_count; /* the gang's class is to start in time */
+        double save_s, grace;
+    } rows[] = {
+        {"one machine's worth", 1, 16, 10, true, true, 8, false, 3, 3},
+        {"all that there is", 2, 16, 10, true, true, 16, false, 3, 3},
+        {"more than there is", 3, 32, 10, true, false, 0, false, 3, 0},
+        {"not guaranteed", 2, 8, 10, true, false, 0, false, 3, 0},
+        {"what would lose its work", 2, 16, 0, true, false, 0, false, 3, 0},
+        {"by the operators' wish", 2, 16, 10, false, false, 0, false, 3, 0},
+        {"a start that counts does not wait for little to be saved", 2, 16, 10, true, true, 16, true, 3, 0},
+        {"but for much", 2, 16, 20, true, true, 16, true, 3, 3},
+    };
+    for (size_t k = 0; k < ROWS(rows); k++) {
+        node->set.nteams = 2;
+        node->set.teams[0].guarantee.gpus = 4;
+        node->set.teams[1].guarantee.gpus = rows[k].guaranteed;
+        node->opt.preempt = rows[k].preempt;
+        node->set.nobjectives = rows[k].starts_count;
+        strcpy(node->set.objectives[0].kind, "wait");
+        strcpy(node->set.objectives[0].class_name, "tune");
+        node->set.objectives[0].within_s = 25;
+        struct amb_job *sweep = add_job("wk-1", AMB_ARRAY, 16),
+                       *gang = add_job("wk-2", AMB_GANG, rows[k].tasks);
+        sweep->spec->priority = gang->spec->priority = AMB_NORMAL;
+        sweep->spec->checkpoint_s = rows[k].checkpoint_s;
+        sweep->spec->save_s = rows[k].save_s;
+        strcpy(gang->spec->class_name, "tune");
+        sweep->spec->spot = gang->spec->spot = true;
+        gang->spec->each = (struct amb_res){80, 8, 500};
+        gang->team = &node->set.teams[1];
+        for (uint32_t i = 0; i < 16; i++) {
+            struct amb_task *t = bound(sweep, i, i < 8 ? "m-1" : "m-2", 1);
+            t->state = AMB_TASK_SEEN;
+            t->on = AMB_ON_RUNNING;
+        }
+        report("m-1", k + 1, 1, TERM, amb_now(), NULL, 0);
+        report("m-2", k + 1, 1, TERM, amb_now(), NULL, 0);
+        for (uint32_t i = 0; i < 16; i++) {
+            if (!sweep->tasks[i].machine) bound(sweep, i, i < 8 ? "m-1" : "m-2", 2);
+            sweep->tasks[i].state = AMB_TASK_SEEN;
+        }
+        struct amb_round *r = amb_round_new(node, amb_now());
+        amb_round_mark(r, gang->spec, gang->spec->image);
+        uint32_t stopped = 0, claimed = 0;
+        bool room = amb_round_make_room_gang(r, gang);
+        for (uint32_t i = 0; i < r->nslots; i++) claimed += r->slots[i].machine->claimed;
+        amb_round_free(r);
+        for (uint32_t i = 0; i < 16; i++) stopped += sweep->tasks[i].halting;
+        for (uint32_t i = 0; i < 16; i++)
+            if (sweep->tasks[i].halting && sweep->tasks[i].grace_s != rows[k].grace)
+                fail_msg("%s: stopped with grace %g", rows[k].what, sweep->tasks[i].grace_s);
+        if (room != rows[k].room || stopped != rows[k].stopped || claimed != rows[k].stopped / 8)
+            fail_msg("%s: room %d, %u stopped, %u machines claimed", rows[k].what, room, stopped, claimed);
+        for (uint32_t i = 0; i < 16; i++) amb_task_unbind(node, &sweep->tasks[i], "end of row");
+        struct amb_job *jobs[] = {sweep, gang};
+        for (size_t i = 0; i < ROWS(jobs); i++) {
+            amb_job_leave(node, jobs[i]);
+            HASH_DEL(node->jobs.all, jobs[i]);
+            free(jobs[i]->spec);
+            free(jobs[i]);
+        }
+        struct amb_machine *m, *next;
+        HASH_ITER(hh, node->fleet.all, m, next) m->claimed = false;
+    }
+}
+
+/* Batch work that may start later than a rented machine could take it once counted as hurried: it took the
+ * room that was made for gangs, was stopped for them, and took it again. */
+static void hurry(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        enum amb_kind kind;
+        double within[3], want; /* seconds; want 0: in no hurry */
+    } rows[] = {
+        {"no aim", AMB_ARRAY, {0}, 0},
+        {"sweeps that may start after a boot and a fetch", AMB_ARRAY, {120}, 0},
+        {"sweeps that may not", AMB_ARRAY, {30}, 30},
+        {"gangs, by the soonest of their aims", AMB_GANG, {70, 25, 50}, 25},
+        {"services, however late", AMB_SERVICE, {120}, 120},
+    };
+    node->catalog.types[0].boot_s = 50;
+    node->catalog.types[0].fetch_gb_s = 1.7;
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_spec s = {.kind = rows[i].kind, .class_name = "class", .image_gb = 16};
+        node->set.nobjectives = 0;
+        for (size_t k = 0; k < 3 && rows[i].within[k] > 0; k++) {
+            struct amb_objective *o = &node->set.objectives[node->set.nobjectives++];
+            strcpy(o->kind, "wait");
+            strcpy(o->class_name, "class");
+            o->within_s = rows[i].within[k];
+        }
+        const struct amb_objective *o = amb_round_wait_objective(node, &s);
+        if ((o ? o->within_s : 0) != rows[i].want) fail_msg("%s", rows[i].what);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(gangs, setup, end),
+        cmocka_unit_test_setup_teardown(gang_on_one_machine, setup, end),
+        cmocka_unit_test_setup_teardown(gangs_have_one_attempt, begin, end),
+        cmocka_unit_test_setup_teardown(gangs_start_anew_when_all_are_gone, begin, end),
+        cmocka_unit_test_setup_teardown(old_tasks_bind_the_zone, begin, end),
+        cmocka_unit_test_setup_teardown(gangs_make_room, setup, end),
+        cmocka_unit_test_setup_teardown(hurry, setup, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_heartbeats.c
@@ -0,0 +1,141 @@
+/* What nodes tell one another: what a peer's word confirms, and the cancellations that it carries. */
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+static void what_a_peers_word_confirms(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        bool speaks_first;
+        struct said said;
+        bool other_answers;
+        bool confirms; /* our lead, and that no cancellation is unknown to us */
+        bool fences;   /* proves that nobody answers under an older term */
+    } rows[] = {
+        {"an answer", false, {.term = TERM}, true, true, true},
+        {"a message of its own", true, {.term = TERM}, true, false, false},
+        {"it leads under an older term", false, {.term = TERM - 1, .leading = true}, true, false, false},
+        {"it leads", false, {.term = TERM, .leading = true}, true, false, false},
+        {"it has not heard of our term", false, {.term = TERM - 1}, true, true, false},
+        {"it knows a higher term", false, {.term = TERM + 1}, true, false, false},
+        {"it has not read the state service since it began",
+         false,
+         {.term = TERM, .unloaded = true},
+         true,
+         false,
+         true},
+        {"the other peer does not answer", false, {.term = TERM}, false, false, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        amb_ms asked = amb_now();
+        ask_peers();
+        fake_clock_advance(300);
+        if (rows[i].other_answers) peer_answers(1, (struct said){.term = TERM});
+        if (rows[i].speaks_first)
+            peer_speaks(0, rows[i].said);
+        else
+            peer_answers(0, rows[i].said);
+        amb_ms confirmed = amb_peer_confirmed(node, amb_now());
+        if (confirmed != (rows[i].confirms ? asked : 0))
+            fail_msg("%s: confirmed %lld ms after the question", rows[i].what,
+                     (long long)(confirmed - asked));
+        amb_ms quiet = amb_leads(node) ? amb_peer_quiet(node) : 0;
+        if (quiet != (rows[i].fences ? asked + 300 : 0))
+            fail_msg("%s: nobody answers under an older term since %lld ms after the question", rows[i].what,
+                     (long long)(quiet - asked));
+    }
+}
+
+/* The defence against a state service that refuses the leader alone, and then everybody, while users are told
+ * of cancellations by another node. */
+static void peers_cancellations_are_heeded(void **state) {
+    (void)state;
+    for (int speaks_first = 0; speaks_first <= 1; speaks_first++) {
+        begin_anew();
+        ask_peers();
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        bound(j, 0, "m-1", 1);
+        struct sent_report r = {"m-1", "a", 1, 1, TERM, "wk-1/0", 1, "running"};
+        send_report(r);
+        char cancelled[64];
+        snprintf(cancelled, sizeof cancelled, "[\"wk-1\",%lld,61]", (long long)amb_wall_ms());
+        (speaks_first ? peer_speaks : peer_answers)(0, (struct said){.term = TERM, .cancelled = cancelled});
+        r.seq++;
+        send_report(r);
+        if (replied_orders("halt") != 1)
+            fail_msg("a peer %s of a cancellation, and the task is not told to stop",
+                     speaks_first ? "speaks" : "answers");
+    }
+}
+
+static void cancellations_are_told_to_peers(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    amb_job_cancel_hint(node, "wk-1", amb_wall_ms(), 61);
+    assert_int_equal(j->state, AMB_JOB_CANCELLED);
+    node->jobs.epoch = 1234;
+    ask_peers();
+    struct fake_call *beat = open_call("POST", "/peer/heartbeat");
+    amb_buf_add(&beat->body, "", 1);
+    if (!strstr(beat->body.data, "\"epoch\":1234")) fail_msg("a question does not say what the node knows");
+    if (!strstr(beat->body.data, "wk-1")) fail_msg("a message to a peer does not name the cancelled job");
+    peer_speaks(0, (struct said){.term = TERM});
+    assert_int_equal(latest()->status, 200);
+    amb_buf_add(&latest()->body, "", 1);
+    if (!strstr(latest()->body.data, "wk-1")) fail_msg("an answer to a peer does not name the cancelled job");
+}
+
+/* A peer's word of a cancellation stops the tasks of a leader that the news can't reach. */
+static void cancellation_by_hint(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    struct amb_task *t = bound(j, 0, "m-1", 1);
+    struct amb_seen seen = listing("wk-1", 0, 1, AMB_ON_RUNNING, AMB_WHY_NONE);
+    report("m-1", 1, 1, TERM, amb_now(), &seen, 1);
+    amb_job_cancel_hint(node, "wk-1", amb_wall_ms(), 2);
+    assert_true(t->halting);
+    report("m-1", 1, 2, TERM, amb_now(), &seen, 1);
+    assert_int_equal(count_orders(AMB_OP_HALT), 1);
+}
+
+/* What a leader of a large fleet tells the others fits in a message, at its worst and all the more as a rule.
+ */
+static void beats_fit(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        bool changed;
+        size_t most;
+    } rows[] = {{"everything has changed", true, AMB_HEARTBEAT_MAX},
+                {"nothing has", false, AMB_HEARTBEAT_MAX / 8}};
+    for (uint32_t i = 0; i < 1300; i++) {
+        char name[AMB_NAME];
+        snprintf(name, sizeof name, "m-%06u", i);
+        struct amb_machine *m = amb_machine_get(node, name, true);
+        for (m->nimages = 0; m->nimages < AMB_IMAGES; m->nimages++) {
+            snprintf(m->images[m->nimages], AMB_NAME, "img-%02u", m->nimages);
+            m->image_gb[m->nimages] = 65.5;
+        }
+    }
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        for (struct amb_machine *m = node->fleet.all; m; m = m->hh.next) m->images_changed = rows[i].changed;
+        char *text = amb_peer_say(node);
+        size_t len = strlen(text);
+        free(text);
+        if (len < 1000 || len > rows[i].most) fail_msg("%s: %zu bytes", rows[i].what, len);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(what_a_peers_word_confirms, begin, end),
+        cmocka_unit_test_setup_teardown(peers_cancellations_are_heeded, begin, end),
+        cmocka_unit_test_setup_teardown(cancellations_are_told_to_peers, begin, end),
+        cmocka_unit_test_setup_teardown(cancellation_by_hint, setup, end),
+        cmocka_unit_test_setup_teardown(beats_fit, setup, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_machines.c
@@ -0,0 +1,161 @@
+/* The leader's table of machines: which may be given work, which are silent, and those that were returned. */
+#include "check.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+static void work_goes_to_machines_that_have_shown_our_token(void **state) {
+    (void)state;
+    static const struct {
+        uint64_t token;
+        bool usable;
+    } rows[] = {{TERM - 1, false}, {TERM, true}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        report("m-1", 1, 1, rows[i].token, amb_now(), NULL, 0);
+        if (amb_machine_usable(node, amb_machine_get(node, "m-1", false), amb_now()) != rows[i].usable)
+            fail_msg("token %llu: usable %d", (unsigned long long)rows[i].token, !rows[i].usable);
+    }
+}
+
+static void machines_that_hear_badly_rest(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    bound(j, 0, "m-1", 1);
+    struct amb_machine *m = amb_machine_get(node, "m-1", false);
+    for (uint64_t seq = 1; seq <= 3; seq++) report("m-1", 1, seq, TERM, amb_now(), NULL, 0);
+    assert_null(j->tasks[0].machine);
+    if (amb_machine_usable(node, m, amb_now())) fail_msg("used again at once");
+}
+
+static void machines_nobody_expected_are_known_by_reporting(void **state) {
+    (void)state;
+    send_report((struct sent_report){.machine = "m-9", .session = 1, .seq = 1, .token = TERM});
+    struct amb_machine *m = amb_machine_get(node, "m-9", false);
+    assert_non_null(m);
+    assert_true(amb_machine_usable(node, m, amb_now()));
+}
+
+static void returned_machines_are_not_used_again(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        bool wanted;
+        enum amb_machine_state state;
+        size_t starts;
+    } rows[] = {
+        {"at work", false, AMB_MACHINE_UP, 1},
+        {"to be returned", true, AMB_MACHINE_UP, 0},
+        {"its return was asked for", false, AMB_MACHINE_RELEASING, 0},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        struct amb_machine *m = machine_up("m-1", 0);
+        bound(j, 0, "m-1", 1);
+        m->state = rows[i].state;
+        m->release_wanted = rows[i].wanted;
+        report("m-1", 1, 1, TERM, amb_now(), NULL, 0);
+        if (count_orders(AMB_OP_RUN) != rows[i].starts)
+            fail_msg("%s: %zu starts", rows[i].what, count_orders(AMB_OP_RUN));
+        if (m->state != rows[i].state) fail_msg("%s: state %d by a report", rows[i].what, m->state);
+    }
+}
+
+static void returned_machines_never_come_back(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    bound(j, 0, "m-1", 1);
+    amb_machine_gone(node, amb_machine_get(node, "m-1", false), AMB_ABSENCE_RETURNED);
+    assert_null(j->tasks[0].machine);
+    assert_true(report("m-1", 1, 9, TERM, amb_now(), NULL, 0));
+    assert_null(amb_machine_get(node, "m-1", false));
+    assert_int_equal(norders, 0);
+}
+
+/* A new leader once waited a period and a third of reports even when there was nothing left to learn. */
+static void learned_when_nearly_all_have_shown_the_token(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        uint32_t up, unproven, booting, failed;
+        bool want;
+    } rows[] = {
+        {"no machines", 0, 0, 0, 0, true},
+        {"none has shown it", 0, 3, 0, 0, false},
+        {"nine of ten", 9, 1, 0, 0, true},
+        {"eight of ten", 8, 2, 0, 0, false},
+        {"those that boot have nothing to tell", 9, 1, 30, 0, true},
+        {"nor those that have failed", 9, 1, 0, 30, true},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        uint32_t total = rows[i].up + rows[i].unproven + rows[i].booting + rows[i].failed;
+        for (uint32_t k = 0; k < total; k++) {
+            char name[AMB_NAME];
+            snprintf(name, sizeof name, "m-%zu-%u", i, k);
+            struct amb_machine *m = amb_machine_get(node, name, true);
+            m->token_shown = k < rows[i].up;
+            if (k >= rows[i].up + rows[i].unproven) m->state = AMB_MACHINE_BOOTING;
+            if (k >= total - rows[i].failed) m->state = AMB_MACHINE_UNPROVEN, m->failed = true;
+        }
+        if (amb_fleet_learned(node) != rows[i].want) fail_msg("%s", rows[i].what);
+        amb_fleet_clear(node);
+    }
+}
+
+/* Machines that boot beyond a cut are neither waited for nor rented there; a zone where many have died still
+ * has its place in the plan. */
+static void dark_zones(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        uint32_t heard_a, silent_a, heard_b, silent_b;
+        amb_ms leading;
+        bool deputy, dark; /* deputy: in b */
+    } rows[] = {
+        {"all heard", 10, 0, 10, 0, 60000, false, false},
+        {"nearly all silent", 10, 0, 1, 9, 60000, false, true},
+        {"nearly all silent, but a deputy answers them", 10, 0, 1, 9, 60000, true, false},
+        {"half have died", 10, 0, 10, 10, 60000, false, false},
+        {"two machines are no zone", 10, 0, 0, 2, 60000, false, false},
+        {"nobody is heard anywhere", 0, 10, 0, 10, 60000, false, false},
+        {"a new leader has heard nobody yet", 10, 0, 0, 10, 2000, false, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        end(NULL);
+        setup(NULL);
+        amb_ms now = amb_now() + 1000000;
+        amb_catalog_zone(&node->catalog, "a");
+        amb_catalog_zone(&node->catalog, "b");
+        node->ctl.leading_since = now - rows[i].leading;
+        const uint32_t counts[] = {rows[i].heard_a, rows[i].silent_a, rows[i].heard_b, rows[i].silent_b};
+        for (int k = 0; k < 4; k++)
+            for (uint32_t c = 0; c < counts[k]; c++) {
+                char name[AMB_NAME];
+                snprintf(name, sizeof name, "m-%d-%u", k, c);
+                struct amb_machine *m = amb_machine_get(node, name, true);
+                m->type = 0;
+                m->zone = k / 2;
+                m->state = AMB_MACHINE_UP;
+                m->token_shown = true;
+                m->reported_at = m->answered_at = now - (k % 2 ? 5000 : 500);
+            }
+        node->deputy.nknown = 1;
+        node->deputy.known[0].zone = 1;
+        node->deputy.known[0].present = rows[i].deputy;
+        amb_fleet_tick(node, now);
+        if (amb_fleet_dark(node, 1) != rows[i].dark || amb_fleet_dark(node, 0)) fail_msg("%s", rows[i].what);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(work_goes_to_machines_that_have_shown_our_token, begin, end),
+        cmocka_unit_test_setup_teardown(machines_that_hear_badly_rest, begin, end),
+        cmocka_unit_test_setup_teardown(machines_nobody_expected_are_known_by_reporting, begin, end),
+        cmocka_unit_test_setup_teardown(returned_machines_are_not_used_again, begin, end),
+        cmocka_unit_test_setup_teardown(returned_machines_never_come_back, setup, end),
+        cmocka_unit_test_setup_teardown(learned_when_nearly_all_have_shown_the_token, setup, end),
+        cmocka_unit_test_setup_teardown(dark_zones, setup, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_records.c
@@ -0,0 +1,255 @@
+/* The leader's records: the guards of its writes, writes whose answer is lost, their order, and reading them
+ * back. */
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+/* ---- guards ---- */
+
+static struct fake_call *begin_block_removal(void) {
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    j->stamp = 20;
+    j->blocks[0].stamp = 33;
+    j->state = AMB_JOB_CANCELLED;
+    amb_record_pump(node);
+    return open_call("POST", "/commit");
+}
+
+static struct fake_call *begin_job_end(void) {
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+    j->stamp = 20;
+    j->blocks[0].stamp = 33;
+    amb_task_finish(node, &j->tasks[0]);
+    amb_record_pump(node);
+    return open_call("POST", "/commit");
+}
+
+static struct fake_call *begin_removal_after_end(void) {
+    answer_epoch(begin_job_end(), 61);
+    fake_clock_advance(1000);
+    amb_record_pump(node);
+    return open_call("POST", "/commit");
+}
+
+static struct fake_call *begin_rental(void) {
+    amb_rental_want(node, 0, 0, false, 1);
+    amb_rental_tick(node, amb_now());
+    return open_call("POST", "/commit");
+}
+
+static struct fake_call *begin_rental_removal(void) {
+    amb_rental_want(node, 0, 0, false, 1);
+    node->rental.charters->state = AMB_CHARTER_REMOVING;
+    amb_rental_tick(node, amb_now());
+    return open_call("POST", "/commit");
+}
+
+static void leaders_writes_are_guarded(void **state) {
+    (void)state;
+    static const uint64_t FREE = FAKE_NOT_GUARDED;
+    static const struct {
+        const char *what;
+        struct fake_call *(*begin)(void);
+        uint64_t job, block; /* the stamps that it must be guarded with, beside the term */
+        const char *puts, *removes;
+    } rows[] = {
+        {"a block of placements", begin_block, 20, 33, BLOCK_KEY, NULL},
+        {"a block removed", begin_block_removal, FREE, 33, NULL, BLOCK_KEY},
+        {"a job's end", begin_job_end, 20, FREE, "a/job/wk-1", NULL},
+        {"a block removed after the job's end", begin_removal_after_end, FREE, 33, NULL, BLOCK_KEY},
+        {"a rental", begin_rental, FREE, FREE, "b/r/r-50-1", NULL},
+        {"a rental's record removed", begin_rental_removal, FREE, FREE, NULL, "b/r/r-50-1"},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct fake_call *commit = rows[i].begin();
+        if (!commit) fail_msg("%s: not written", rows[i].what);
+        if (rows[i].puts && !fake_txn_put(commit, rows[i].puts, NULL)) fail_msg("%s: not put", rows[i].what);
+        if (rows[i].removes && !fake_txn_removes(commit, rows[i].removes))
+            fail_msg("%s: not removed", rows[i].what);
+        if (fake_txn_guard(commit, LEADER_KEY) != TERM)
+            fail_msg("%s is written without a guard on the leader's term", rows[i].what);
+        if (fake_txn_guard(commit, "a/job/wk-1") != rows[i].job)
+            fail_msg("%s is not guarded by the job's stamp", rows[i].what);
+        if (fake_txn_guard(commit, BLOCK_KEY) != rows[i].block)
+            fail_msg("%s is not guarded by the block's stamp", rows[i].what);
+    }
+}
+
+/* ---- placement before start ---- */
+
+static void placements_without_answer(void **state) {
+    (void)state;
+    enum read { FAILS, MISSING, OTHERS, OURS };
+    static const struct {
+        const char *what;
+        enum read read;
+        bool job_changed; /* meanwhile */
+        bool sent_again;
+        enum amb_task_state state;
+    } rows[] = {
+        {"it stands there", OURS, false, false, AMB_TASK_BOUND},
+        {"it does not", MISSING, false, true, AMB_TASK_PLACED},
+        {"an older one stands there", OTHERS, false, true, AMB_TASK_PLACED},
+        {"the read fails", FAILS, false, true, AMB_TASK_PLACED},
+        {"the job was cancelled meanwhile", MISSING, true, false, AMB_TASK_WAITING},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct fake_call *commit = begin_block();
+        struct amb_job *j = amb_job_find(node, "wk-1");
+        char id[AMB_NAME];
+        struct amb_buf first = {0};
+        amb_buf_add(&first, commit->body.data, commit->body.len);
+        assert_true(amb_cbor_str(amb_cbor_get(fake_txn_put(commit, BLOCK_KEY, NULL), "w"), id, sizeof id));
+        fake_answer(commit, 0, NULL);
+        if (j->tasks[0].state != AMB_TASK_PLACED) fail_msg("%s: bound before it is known", rows[i].what);
+        struct fake_call *read = open_call("GET", "/store/b/p/wk-1/00000");
+        if (rows[i].read == FAILS) fake_answer(read, 0, NULL);
+        if (rows[i].read == MISSING) fake_answer(read, 404, NULL);
+        if (rows[i].read == OTHERS) answer_value(read, "w", "49-1", 0, 33);
+        if (rows[i].read == OURS) answer_value(read, "w", id, 0, 61);
+        if (rows[i].job_changed) {
+            j->state = AMB_JOB_CANCELLED;
+            j->stamp = 21;
+        }
+        fake_clock_advance(2500);
+        node->election.renewed_at = amb_now();
+        amb_record_pump(node);
+        if (j->tasks[0].state != rows[i].state) fail_msg("%s: state %d", rows[i].what, j->tasks[0].state);
+        struct fake_call *again = find_call("POST", "/commit");
+        bool puts = again && fake_txn_put(again, BLOCK_KEY, NULL);
+        if (puts != rows[i].sent_again) fail_msg("%s: sent again %d", rows[i].what, puts);
+        if (puts && (again->body.len != first.len || memcmp(again->body.data, first.data, first.len) != 0))
+            fail_msg("%s: sent again with other content or guards", rows[i].what);
+        amb_buf_free(&first);
+    }
+}
+
+/* A block of a job that is not known yet would be taken as over, and its running tasks would not count. */
+static void records_are_read_after_the_jobs(void **state) {
+    (void)state;
+    char err[128];
+    assert_int_equal(amb_node_start(node, err, sizeof err), 0);
+    amb_controller_lead(node);
+    fake_clock_advance(200);
+    struct fake_call *read = open_call("GET", "/follow");
+    assert_non_null(read);
+    for (int i = 0; i < 5; i++) {
+        fake_clock_advance(1500);
+        node->election.renewed_at = amb_now();
+        if (find_call("GET", "/store?prefix=b/")) fail_msg("the records are read before the jobs");
+    }
+    answer_news(read, 70, "wk-000001", AMB_JOB_QUEUED, 70);
+    fake_clock_advance(1500);
+    assert_non_null(find_call("GET", "/store?prefix=b/"));
+}
+
+/* Its write may have to be sent again, and would find the job over and its block removed. */
+static void jobs_end_after_their_blocks(void **state) {
+    (void)state;
+    struct fake_call *block = begin_block();
+    struct amb_job *j = amb_job_find(node, "wk-1");
+    amb_task_finish(node, &j->tasks[0]);
+    amb_task_unbind(node, &j->tasks[0], "done");
+    amb_record_pump(node);
+    if (fake_calls_open("POST", "/commit") != 1) fail_msg("the job ends while its block is being written");
+    answer_epoch(block, 61);
+    fake_clock_advance(1000);
+    amb_record_pump(node);
+    struct fake_call *ended = open_call("POST", "/commit");
+    assert_non_null(fake_txn_put(ended, "a/job/wk-1", NULL));
+    assert_false(fake_txn_removes(ended, BLOCK_KEY));
+    amb_record_pump(node);
+    if (fake_calls_open("POST", "/commit") != 1)
+        fail_msg("a block is removed before its job's end is on record");
+    answer_epoch(ended, 62);
+    fake_clock_advance(1000);
+    amb_record_pump(node);
+    struct fake_call *removal = open_call("POST", "/commit");
+    assert_true(fake_txn_removes(removal, BLOCK_KEY));
+    assert_int_equal(fake_txn_guard(removal, BLOCK_KEY), 61);
+    assert_int_equal(fake_txn_guard(removal, LEADER_KEY), TERM);
+}
+
+/* ---- reading them back ---- */
+
+/* What is recorded is what a new leader reads. */
+static void records_are_read_back(void **state) {
+    (void)state;
+    uint32_t per = amb_record_tasks_per_block(&node->set);
+    struct amb_job *j = add_job("wk-1", AMB_ARRAY, per + 10);
+    assert_int_equal(j->nblocks, 2);
+    amb_catalog_zone(&node->catalog, "a");
+    for (uint32_t i = 0; i < per; i++) {
+        char name[16];
+        snprintf(name, sizeof name, "m-%06u", i);
+        bound(j, i, name, 100000 + i);
+        j->tasks[i].machine->type = 0;
+        j->tasks[i].machine->zone = 0;
+    }
+    struct amb_task *t = &j->tasks[3];
+    amb_task_finish(node, t);
+    amb_task_unbind(node, t, "done");
+    struct amb_buf b = {0};
+    strcpy(j->blocks[0].write_id, "50-1");
+    amb_record_encode(node, &j->blocks[0], &b);
+    assert_true(b.len < (size_t)(node->set.value_kb * 1024)); /* the limit holds for the fullest block */
+    cbor_item_t *item = amb_cbor_parse(b.data, b.len);
+    amb_job_leave(node, j);
+    amb_fleet_clear(node);
+    cbor_item_t *at = (cbor_item_t *)amb_cbor_get(item, "at");
+    cbor_set_uint64(at, (uint64_t)amb_wall_ms() - 30000); /* as if written half a minute ago */
+    amb_record_load(node, "b/p/wk-1/00000", item, 77);
+    cbor_decref(&item);
+    amb_ms known = amb_now() - amb_machine_get(node, "m-000000", false)->first_at;
+    assert_true(known >= 30000 && known < 60000);
+    amb_buf_free(&b);
+    assert_true(j->live);
+    assert_int_equal(j->blocks[0].stamp, 77);
+    assert_int_equal(j->nbound, per - 1);
+    assert_int_equal(j->ndone, 1);
+    assert_true(j->tasks[3].done && j->tasks[3].done_saved);
+    assert_string_equal(j->tasks[per - 1].machine->name,
+                        amb_machine_get(node, j->tasks[per - 1].machine->name, false)->name);
+    assert_int_equal(j->tasks[5].attempt, 100005);
+    assert_int_equal(j->tasks[5].machine->type, 0);
+    assert_true(j->tasks[5].foreign);
+    assert_int_equal(j->zone_used[0], per - 1);
+}
+
+static void damaged_records_do_no_harm(void **state) {
+    (void)state;
+    static const char *const texts[] = {
+        "",      ";", "0", "0,1", "0,1,m-1,0,0", "9999,1,m-1,0,0,0;", "-1,1,m,0,0,0;", "0,1,m-1,99,99,0;",
+        "x,y,z;"};
+    struct amb_job *j = add_job("wk-1", AMB_ARRAY, 2);
+    for (size_t i = 0; i < ROWS(texts); i++) {
+        struct amb_buf b = {0};
+        amb_w_map(&b, 2);
+        amb_w_str(&b, "p");
+        amb_w_str(&b, texts[i]);
+        amb_w_str(&b, "d");
+        amb_w_str(&b, texts[i]);
+        cbor_item_t *item = amb_cbor_parse(b.data, b.len);
+        amb_record_load(node, "b/p/wk-1/00000", item, i + 1);
+        amb_record_load(node, "b/p/wk-1/99999", item, i + 1);
+        amb_record_load(node, "b/p/wk-1", item, i + 1);
+        cbor_decref(&item);
+        amb_buf_free(&b);
+    }
+    assert_true(j->nbound <= 1 && j->ndone <= 2);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(leaders_writes_are_guarded, begin, end),
+        cmocka_unit_test_setup_teardown(placements_without_answer, begin, end),
+        cmocka_unit_test_setup_teardown(records_are_read_after_the_jobs, begin, end),
+        cmocka_unit_test_setup_teardown(jobs_end_after_their_blocks, begin, end),
+        cmocka_unit_test_setup_teardown(records_are_read_back, setup, end),
+        cmocka_unit_test_setup_teardown(damaged_records_do_no_harm, setup, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_rentals.c
@@ -0,0 +1,239 @@
+/* Rentals: what is asked for, how it is recorded, and what a successor does with it. */
+#include "amberpin/plan.h"
+#include "amberpin/round.h"
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+#include <math.h>
+
+static void rental_names_are_never_used_twice(void **state) {
+    (void)state;
+    amb_rental_want(node, 0, 0, false, 1);
+    amb_rental_want(node, 0, 0, false, 1);
+    struct amb_charter *first = node->rental.charters, *second = first->next;
+    if (!strcmp(first->id, second->id)) fail_msg("%s twice under one term", first->id);
+    char id[sizeof first->id];
+    strcpy(id, first->id);
+    begin_anew();
+    node->election.term = TERM + 1;
+    amb_rental_want(node, 0, 0, false, 1);
+    if (!strcmp(node->rental.charters->id, id)) fail_msg("%s under two terms", id);
+}
+
+static void rentals_are_recorded_until_they_must_be_listed(void **state) {
+    (void)state;
+    amb_rental_want(node, 0, 0, false, 1);
+    amb_rental_tick(node, amb_now());
+    if (find_call("POST", "/machines")) fail_msg("asked for before it is recorded");
+    struct fake_call *commit = open_call("POST", "/commit");
+    assert_non_null(fake_txn_put(commit, "b/r/r-50-1", NULL));
+    answer_epoch(commit, 60);
+    amb_rental_tick(node, amb_now());
+    struct fake_call *rent = open_call("POST", "/machines");
+    assert_true(amb_cbor_eq(amb_cbor_get(rent->map, "charter"), "r-50-1"));
+    struct amb_buf b = {0};
+    amb_w_map(&b, 1);
+    amb_w_str(&b, "rigs"), amb_w_list(&b, 1), amb_w_str(&b, "m-1");
+    fake_answer(rent, 200, &b);
+    for (amb_ms since = 0; since <= 11000; since += 1000) {
+        node->election.renewed_at = amb_now();
+        amb_rental_tick(node, amb_now());
+        if (find_call("POST", "/commit")) fail_msg("its record is removed after %lld ms", (long long)since);
+        fake_clock_advance(1000);
+    }
+    node->election.renewed_at = amb_now();
+    amb_rental_tick(node, amb_now());
+    amb_rental_tick(node, amb_now());
+    assert_true(fake_txn_removes(open_call("POST", "/commit"), "b/r/r-50-1"));
+}
+
+static void successors_repeat_rentals(void **state) {
+    (void)state;
+    struct amb_buf b = {0};
+    amb_w_map(&b, 4);
+    amb_w_str(&b, "type"), amb_w_str(&b, "g8");
+    amb_w_str(&b, "zone"), amb_w_str(&b, "a");
+    amb_w_str(&b, "spot"), amb_w_bool(&b, false);
+    amb_w_str(&b, "count"), amb_w_uint(&b, 3);
+    cbor_item_t *value = amb_cbor_parse(b.data, b.len);
+    amb_rental_load(node, "b/r/r-40-7", value);
+    cbor_decref(&value);
+    amb_buf_free(&b);
+    amb_rental_tick(node, amb_now());
+    struct fake_call *rent = find_call("POST", "/machines");
+    if (!rent) fail_msg("an earlier leader's rental is not repeated");
+    /* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): fail_msg ends the test */
+    assert_true(amb_cbor_eq(amb_cbor_get(rent->map, "charter"), "r-40-7"));
+}
+
+/* ---- the plan ---- */
+
+static uint32_t charters(int *type) {
+    uint32_t n = 0;
+    for (const struct amb_charter *c = node->rental.charters; c; c = c->next, n++) *type = c->type;
+    return n;
+}
+
+static void plan_now(void) {
+    struct amb_round *r = amb_round_new(node, amb_now());
+    amb_plan(r);
+    amb_round_free(r);
+}
+
+/* No more is asked for than there are calls for, the most urgent first; the rest adds up in the plan. (All of
+ * it once stood in a queue, last come first served: 25 calls for a machine or two each, 18 s.) */
+static void rentals_add_up(void **state) {
+    (void)state;
+    static const struct {
+        double tokens;
+        int recording, asking, asked;
+        uint32_t calls;
+    } rows[] = {{0, 0, 0, 0, 1},   {3.5, 0, 0, 0, 3}, {3.5, 1, 1, 0, 1},
+                {3.5, 0, 0, 2, 3}, {0, 1, 0, 0, 0},   {2, 3, 3, 0, 0}};
+    struct amb_rental *r = &node->rental;
+    node->set.cloud_rps = 3;
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        r->calls = (struct amb_budget){.tokens = rows[i].tokens};
+        for (int k = 0; k < rows[i].recording + rows[i].asking + rows[i].asked; k++) {
+            amb_rental_want(node, 0, 0, false, 1);
+            struct amb_charter *c = r->charters;
+            while (c->next) c = c->next;
+            c->state = k < rows[i].recording ? AMB_CHARTER_RECORDING : AMB_CHARTER_ASKING;
+            c->busy = k >= rows[i].recording + rows[i].asking;
+        }
+        uint32_t calls = amb_rental_calls(node, amb_now());
+        amb_rental_clear(node);
+        if (calls != rows[i].calls) fail_msg("row %zu: %u calls", i, calls);
+    }
+    node->catalog.ntypes = 2;
+    for (int t = 0; t < 2; t++) {
+        struct amb_type *y = &node->catalog.types[t];
+        *y = (struct amb_type){.size = {96, 8, 576}, .price = 10, .boot_s = 50, .nzones = 1, .zones = {"a"}};
+        strcpy(y->name, t ? "g8" : "g4");
+    }
+    amb_catalog_zone(&node->catalog, "a");
+    struct amb_job *surge = add_job("wk-1", AMB_SERVICE, 9), *draft = add_job("wk-2", AMB_SERVICE, 1);
+    surge->spec->priority = AMB_HIGH;
+    draft->spec->priority = AMB_PROD;
+    surge->spec->ntypes = draft->spec->ntypes = 1;
+    strcpy(surge->spec->types[0], "g4");
+    strcpy(draft->spec->types[0], "g8");
+    int type = -1;
+    r->calls = (struct amb_budget){.tokens = 1};
+    plan_now();
+    assert_int_equal(charters(&type), 1);
+    assert_int_equal(type, 1);
+    r->charters->busy = true;
+    r->charters->state = AMB_CHARTER_ASKING;
+    plan_now();
+    assert_int_equal(charters(&type), 2);
+    assert_int_equal(type, 0);
+    assert_int_equal(r->charters->next->count, 2); /* nine tasks, eight to a machine */
+    /* Gangs of any size are planned: those of more than 256 tasks once never got a machine. */
+    amb_rental_clear(node);
+    surge->state = draft->state = AMB_JOB_CANCELLED;
+    add_job("wk-3", AMB_GANG, 300);
+    plan_now();
+    assert_int_equal(charters(&type), 1);
+    assert_int_equal(r->charters->count, 19); /* half of 38: the other type costs the same */
+}
+
+/* What classes ask for is known whether this node led or not when it came, and in whatever order it heard. */
+static void demand_is_remembered(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        int ages[4]; /* seconds ago, in the order they are heard of */
+        bool lead_between, twice;
+        double rate; /* of 4 jobs, with a memory of 200 s */
+    } rows[] = {
+        {"all now", {0, 0, 0, 0}, false, false, 4 / 200.0},
+        {"one after the other", {150, 100, 50, 0}, false, false, 2.858 / 200},
+        {"in another order", {0, 100, 150, 50}, false, false, 2.858 / 200},
+        {"the lead comes in between", {150, 100, 50, 0}, true, false, 2.858 / 200},
+        {"heard of again at the take-over", {150, 100, 50, 0}, true, true, 2.858 / 200},
+    };
+    node->catalog.types[0].boot_s = 50;
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_job jobs[4];
+        struct amb_spec spec = {.kind = AMB_SERVICE, .priority = AMB_PROD, .tasks = 2, .class_name = "help"};
+        node->ctl.ndemands = 0;
+        memset(jobs, 0, sizeof jobs);
+        for (int k = 0; k < 4; k++) {
+            jobs[k].spec = &spec;
+            jobs[k].accepted_wall = amb_wall_ms() - rows[i].ages[k] * 1000L;
+            if (k == 2 && rows[i].lead_between) amb_controller_lead(node);
+            amb_plan_demand(node, &jobs[k]);
+        }
+        for (int k = 0; k < 4 && rows[i].twice; k++) amb_plan_demand(node, &jobs[k]);
+        assert_int_equal(node->ctl.ndemands, 1);
+        struct amb_demand *d = &node->ctl.demands[0];
+        /* The rate holds at the latest arrival that was noted, a moment ago at most. */
+        if (fabs(d->rate - rows[i].rate) > rows[i].rate * 0.01 || d->size2 != 4)
+            fail_msg("%s: %g a second, squares %g", rows[i].what, d->rate, d->size2);
+    }
+}
+
+/* A machine takes longer to boot than the rest of a lease: what is silent for most of one is planned for
+ * before it is proven lost. */
+static void room_for_what_is_as_good_as_lost(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        amb_ms silent;
+        bool over, deputy, alone; /* its job; in its zone; no other machine is heard */
+        uint32_t wants;
+    } rows[] = {
+        {"reports come", 500, false, false, false, 0},
+        {"looking for another node, perhaps", 6000, false, false, false, 0},
+        {"silent for most of a lease", 7000, false, false, false, 1},
+        {"its job is cancelled", 7000, true, false, false, 0},
+        {"a deputy keeps it alive", 7000, false, true, false, 0},
+        {"nobody is heard", 7000, false, false, true, 0},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        end(NULL);
+        setup(NULL);
+        amb_ms now = amb_now() + 1000000;
+        strcpy(node->catalog.types[0].zones[0], "a");
+        node->catalog.types[0].nzones = 1;
+        node->catalog.types[0].boot_s = 50;
+        amb_catalog_zone(&node->catalog, "a");
+        node->rental.calls.tokens = 9;
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        bound(j, 0, "m-1", 1);
+        if (rows[i].over) j->state = AMB_JOB_CANCELLED;
+        struct amb_machine *m = amb_machine_get(node, "m-1", false);
+        m->type = m->zone = 0;
+        m->state = AMB_MACHINE_UP;
+        m->token_shown = true;
+        m->reported_at = now - rows[i].silent;
+        if (!rows[i].alone) {
+            struct amb_machine *other = amb_machine_get(node, "m-2", true);
+            other->reported_at = now - 500;
+            other->release_wanted = true; /* no room there */
+        }
+        node->deputy.nknown = 1;
+        node->deputy.known[0].present = rows[i].deputy;
+        struct amb_round *r = amb_round_new(node, now);
+        amb_plan(r);
+        amb_round_free(r);
+        uint32_t wants = 0;
+        for (struct amb_charter *c = node->rental.charters; c; c = c->next) wants += c->count;
+        if (wants != rows[i].wants) fail_msg("%s: %u", rows[i].what, wants);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(rental_names_are_never_used_twice, begin, end),
+        cmocka_unit_test_setup_teardown(rentals_are_recorded_until_they_must_be_listed, begin, end),
+        cmocka_unit_test_setup_teardown(successors_repeat_rentals, begin, end),
+        cmocka_unit_test_setup_teardown(rentals_add_up, setup, end),
+        cmocka_unit_test_setup_teardown(demand_is_remembered, setup, end),
+        cmocka_unit_test_setup_teardown(room_for_what_is_as_good_as_lost, setup, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_reports.c
@@ -0,0 +1,309 @@
+/* What a leader makes of workers' reports: what it concludes, what it orders, and what late copies must not
+ * do. */
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+/* One task, bound to m-1; then reports, one after the other. */
+struct step {
+    uint64_t session, seq, token;
+    int lists; /* -1: the task is not listed; else how it is */
+    enum amb_why why;
+    size_t runs, halts, clears; /* orders in the answer */
+    enum amb_task_state want;
+};
+
+static void one_task(void **state) {
+    (void)state;
+    enum { NONE = -1 };
+    static const struct {
+        const char *what;
+        enum amb_task_state begin;
+        bool cancelled, foreign;
+        struct step steps[6];
+    } rows[] = {
+        {"no order before our token is shown",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 1, 0, NONE, 0, 0, 0, 0, AMB_TASK_BOUND}, {1, 2, TERM, NONE, 0, 1, 0, 0, AMB_TASK_BOUND}}},
+        {"no order before the record is durable",
+         AMB_TASK_PLACED,
+         false,
+         false,
+         {{1, 1, TERM, NONE, 0, 0, 0, 0, AMB_TASK_PLACED}, {1, 2, TERM, NONE, 0, 0, 0, 0, AMB_TASK_PLACED}}},
+        {"an older leader's token proves nothing",
+         AMB_TASK_BOUND,
+         false,
+         true,
+         {{1, 5, TERM - 1, NONE, 0, 0, 0, 0, AMB_TASK_BOUND},
+          {1, 6, TERM - 1, NONE, 0, 0, 0, 0, AMB_TASK_BOUND}}},
+        {"seen, then gone with our token: absent",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 1, TERM, AMB_ON_RUNNING, 0, 0, 0, 0, AMB_TASK_SEEN},
+          {1, 2, TERM, NONE, 0, 0, 0, 0, AMB_TASK_WAITING}}},
+        {"seen, then a new session without it: absent",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 9, TERM, AMB_ON_RUNNING, 0, 0, 0, 0, AMB_TASK_SEEN},
+          {2, 1, TERM, NONE, 0, 0, 0, 0, AMB_TASK_WAITING}}},
+        {"a late copy neither orders nor undoes",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 5, TERM, AMB_ON_RUNNING, 0, 0, 0, 0, AMB_TASK_SEEN},
+          {1, 4, TERM, NONE, 0, 0, 0, 0, AMB_TASK_SEEN},
+          {1, 5, TERM, NONE, 0, 0, 0, 0, AMB_TASK_SEEN}}},
+        {"a late copy does not get a run order again",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 5, TERM, NONE, 0, 1, 0, 0, AMB_TASK_BOUND}, {1, 5, TERM, NONE, 0, 0, 0, 0, AMB_TASK_BOUND}}},
+        {"a machine that does not act on answers loses the task",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 1, TERM, NONE, 0, 1, 0, 0, AMB_TASK_BOUND},
+          {1, 2, TERM, NONE, 0, 1, 0, 0, AMB_TASK_BOUND},
+          {1, 3, TERM, NONE, 0, 0, 0, 0, AMB_TASK_WAITING}}},
+        {"a result is not cleared before it is on record",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 1, TERM, AMB_ON_EXITED, AMB_WHY_DONE, 0, 0, 0, AMB_TASK_DONE},
+          {1, 2, TERM, AMB_ON_EXITED, AMB_WHY_DONE, 0, 0, 0, AMB_TASK_DONE}}},
+        {"a failed start is cleared",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 1, TERM, AMB_ON_EXITED, AMB_WHY_ERROR, 0, 0, 1, AMB_TASK_WAITING}}},
+        {"an exit under an old token is not concluded from",
+         AMB_TASK_BOUND,
+         false,
+         true,
+         {{1, 1, TERM - 1, AMB_ON_EXITED, AMB_WHY_DONE, 0, 0, 0, AMB_TASK_BOUND}}},
+        {"cancelled: told to stop until it is gone",
+         AMB_TASK_BOUND,
+         true,
+         false,
+         {{1, 1, TERM, AMB_ON_RUNNING, 0, 0, 1, 0, AMB_TASK_SEEN},
+          {1, 2, TERM, AMB_ON_RUNNING, 0, 0, 1, 0, AMB_TASK_SEEN},
+          {1, 3, TERM, AMB_ON_EXITED, AMB_WHY_STOPPED, 0, 0, 1, AMB_TASK_WAITING}}},
+        {"cancelled and not there: never started",
+         AMB_TASK_BOUND,
+         true,
+         true,
+         {{1, 1, TERM, NONE, 0, 0, 0, 0, AMB_TASK_WAITING}}},
+        {"another attempt of ours on the machine is stopped",
+         AMB_TASK_BOUND,
+         false,
+         false,
+         {{1, 1, TERM, 100 + AMB_ON_RUNNING, 0, 1, 1, 0, AMB_TASK_BOUND}}},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        setup(NULL);
+        struct amb_job *j = add_job("wk-1", AMB_ARRAY, 2);
+        struct amb_task *t = bound(j, 0, "m-1", 7);
+        t->state = rows[i].begin;
+        t->foreign = rows[i].foreign;
+        if (rows[i].cancelled) {
+            j->state = AMB_JOB_CANCELLED;
+            amb_task_halt(node, t, 0, "cancelled");
+        }
+        for (size_t k = 0; k < ROWS(rows[i].steps) && rows[i].steps[k].session; k++) {
+            const struct step *s = &rows[i].steps[k];
+            bool other = s->lists >= 100;
+            struct amb_seen seen = listing("wk-1", 0, other ? 3 : 7, (enum amb_on)(s->lists % 100), s->why);
+            assert_true(report("m-1", s->session, s->seq, s->token, amb_now(), &seen, s->lists >= 0));
+            if (count_orders(AMB_OP_RUN) != s->runs || count_orders(AMB_OP_HALT) != s->halts ||
+                count_orders(AMB_OP_CLEAR) != s->clears || t->state != s->want)
+                fail_msg("%s, step %zu: %zu runs, %zu halts, %zu clears, state %d", rows[i].what, k,
+                         count_orders(AMB_OP_RUN), count_orders(AMB_OP_HALT), count_orders(AMB_OP_CLEAR),
+                         t->state);
+        }
+        end(NULL);
+    }
+}
+
+/* /commands may be carried out minutes late: what stops a task may go there, what starts one may not. */
+static void commands_start_nothing(void **state) {
+    (void)state;
+    struct amb_job *j = add_job("wk-1", AMB_SERVICE, 2);
+    machine_up("m-1", 0);
+    bound(j, 0, "m-1", 1)->state = AMB_TASK_SEEN;
+    bound(j, 1, "m-1", 2);
+    amb_task_halt(node, &j->tasks[0], 0, "test");
+    amb_fleet_tick(node, amb_now());
+    struct fake_call *commands = open_call("POST", "/commands");
+    assert_non_null(commands);
+    assert_int_equal(orders_in(commands->map, "halt"), 1);
+    if (orders_in(commands->map, "run")) fail_msg("a start goes out by /commands");
+}
+
+/* ---- placements of an earlier leader ---- */
+
+/* An earlier leader's placement that its machine does not report is started there only if all limits hold. */
+static void stale_placements(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        double limit;
+        bool spread;
+        uint32_t others; /* tasks of the job bound elsewhere in the zone */
+        bool starts;
+    } rows[] = {
+        {"room for all", 10, false, 1, true},
+        {"the team is over its limit", 2, false, 2, false},
+        {"spread is broken", 10, true, 2, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        end(NULL);
+        setup(NULL);
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 3);
+        j->spec->spread = rows[i].spread;
+        node->set.teams[0].limit.gpus = rows[i].limit;
+        int zone = amb_catalog_zone(&node->catalog, "a");
+        const char *names[] = {"m-0", "m-1", "m-2"};
+        for (uint32_t k = 0; k <= rows[i].others; k++) {
+            struct amb_machine *m = amb_machine_get(node, names[k], true);
+            m->zone = zone;
+            m->type = 0;
+            bound(j, k, names[k], 1)->foreign = true;
+        }
+        report("m-0", 1, 1, TERM, amb_now(), NULL, 0);
+        if ((count_orders(AMB_OP_RUN) == 1) != rows[i].starts ||
+            (j->tasks[0].machine != NULL) != rows[i].starts)
+            fail_msg("%s", rows[i].what);
+    }
+}
+
+/* An earlier leader's placement that its machine does not report. */
+static void stale_placements_need_room_and_zone(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        double others_gpus; /* taken on the machine by another job's task */
+        bool one_zone, elsewhere;
+        bool starts;
+    } rows[] = {
+        {"there is room", 7, false, false, true},
+        {"its room was given away", 8, false, false, false},
+        {"the job is bound to a zone, and all of it is there", 0, true, false, true},
+        {"the job is bound to a zone, and has a task elsewhere", 0, true, true, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 2), *other = add_job("wk-2", AMB_SERVICE, 1);
+        j->spec->one_zone = rows[i].one_zone;
+        other->spec->each.gpus = rows[i].others_gpus;
+        machine_in("m-1", 0);
+        machine_in("m-2", 1);
+        bound(j, 0, "m-1", 1)->foreign = true;
+        if (rows[i].elsewhere) bound(j, 1, "m-2", 2)->foreign = true;
+        if (rows[i].others_gpus > 0) {
+            bound(other, 0, "m-1", 1);
+            other->tasks[0].state = AMB_TASK_PLACED;
+        }
+        report("m-1", 1, 1, TERM, amb_now(), NULL, 0);
+        if (count_orders(AMB_OP_RUN) != (rows[i].starts ? 1 : 0))
+            fail_msg("%s: %zu starts", rows[i].what, count_orders(AMB_OP_RUN));
+    }
+}
+
+/* ---- answers that wait for something to say ---- */
+
+/* A machine that has reported twice and waits for its answer. */
+static struct amb_http_req *hold_answer(void) {
+    struct sent_report r = {.machine = "m-1", .session = 1, .seq = 1, .token = TERM};
+    send_report(r);
+    assert_int_equal(answers(), 1);
+    r.seq = 2;
+    struct amb_http_req *req = send_report(r);
+    if (answers() != 1) fail_msg("not held");
+    return req;
+}
+
+/* What the answer says that goes when its time is over. */
+static void held_answers_are_decided_when_they_go(void **state) {
+    (void)state;
+    enum meanwhile { NOTHING, CANCELLED, SENT_BEFORE, FOREIGN, MUTE, HUNG_UP };
+    static const struct {
+        const char *what;
+        enum amb_task_state state;
+        enum meanwhile meanwhile;
+        int status;
+        size_t starts;
+        bool sent;
+    } rows[] = {
+        {"recorded", AMB_TASK_BOUND, NOTHING, 200, 1, true},
+        {"not recorded yet", AMB_TASK_PLACED, NOTHING, 200, 0, false},
+        {"cancelled meanwhile", AMB_TASK_BOUND, CANCELLED, 200, 0, false},
+        {"ordered before", AMB_TASK_BOUND, SENT_BEFORE, 200, 0, true},
+        {"placed by an earlier leader", AMB_TASK_BOUND, FOREIGN, 200, 0, false},
+        {"the node leads no longer", AMB_TASK_BOUND, MUTE, 503, 0, false},
+        {"the machine has hung up", AMB_TASK_BOUND, HUNG_UP, 0, 0, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        struct amb_http_req *req = hold_answer();
+        struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
+        struct amb_task *t = bound(j, 0, "m-1", 1);
+        t->state = rows[i].state;
+        t->sent = rows[i].meanwhile == SENT_BEFORE;
+        t->foreign = rows[i].meanwhile == FOREIGN;
+        if (rows[i].meanwhile == CANCELLED) amb_job_cancel_hint(node, "wk-1", amb_wall_ms(), 61);
+        if (rows[i].meanwhile == MUTE) node->election.role = AMB_ROLE_FENCED;
+        if (rows[i].meanwhile == HUNG_UP) req->conn = NULL;
+        fake_clock_advance(400);
+        if (latest()->status != rows[i].status) fail_msg("%s: answered %d", rows[i].what, latest()->status);
+        if (replied_orders("run") != rows[i].starts || t->sent != rows[i].sent)
+            fail_msg("%s: %zu starts, sent %d", rows[i].what, replied_orders("run"), t->sent);
+    }
+}
+
+static void held_answers_go_in_time(void **state) {
+    (void)state;
+    static const struct {
+        double report_s;
+        amb_ms waits;
+    } rows[] = {{1, 400}, {4, 1600}, {12, 1600}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        node->set.report_s = rows[i].report_s;
+        hold_answer();
+        struct amb_machine *m = amb_machine_get(node, "m-1", false);
+        fake_clock_advance(rows[i].waits - 1);
+        assert_int_equal(answers(), 1);
+        fake_clock_advance(1);
+        if (answers() != 2) fail_msg("reports every %g s: not answered in time", rows[i].report_s);
+        if (m->answered_at != amb_now())
+            fail_msg("the machine's lease counts from %lld ms before the answer",
+                     (long long)(amb_now() - m->answered_at));
+    }
+}
+
+static void only_the_newest_report_is_held(void **state) {
+    (void)state;
+    hold_answer();
+    send_report((struct sent_report){.machine = "m-1", .session = 1, .seq = 3, .token = TERM});
+    if (answers() != 2) fail_msg("%zu answers after a newer report", answers());
+    fake_clock_advance(400);
+    assert_int_equal(answers(), 3);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(one_task),
+        cmocka_unit_test_setup_teardown(commands_start_nothing, begin, end),
+        cmocka_unit_test_setup_teardown(stale_placements, setup, end),
+        cmocka_unit_test_setup_teardown(stale_placements_need_room_and_zone, begin, end),
+        cmocka_unit_test_setup_teardown(held_answers_are_decided_when_they_go, begin, end),
+        cmocka_unit_test_setup_teardown(held_answers_go_in_time, begin, end),
+        cmocka_unit_test_setup_teardown(only_the_newest_report_is_held, begin, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
