Formats: nodes say which they speak, and the leader writes down when all speak the newer

While a new version is rolled out, processes of two versions read and write the same records, so a new form must not be written before every process can read it. Heartbeats and their answers carry the format that a node speaks (the version in production says none, which counts as 1); once every peer's last word is 2, the leader writes a/format, guarded with its term and the key's absence, for good. Nothing uses format 2 yet. The settings read what the state service will allow later (state.next), checked like the present limits, with these as the defaults.

--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -5,6 +5,7 @@
 #include "amberpin/absence.h"
 #include "amberpin/change_feed.h"
 #include "amberpin/election.h"
+#include "amberpin/formats.h"
 #include "amberpin/http.h"
 #include "amberpin/jobs.h"
 #include "amberpin/options.h"
@@ -162,6 +163,7 @@
     uint64_t quiet_term;           /* the last term of ours that it has heeded, and since when */
     amb_ms quiet_at;
     uint64_t term;
+    enum amb_format format; /* its last word */
     bool leading, store_ok, reports_arrive, busy;
     amb_ms sent_at;
     struct amb_peer_message heartbeat, answer; /* its last of each */
@@ -246,6 +248,7 @@
     struct amb_fleet fleet;
     struct amb_rental rental;
     struct amb_peers peers;
+    struct amb_formats formats;
     struct amb_controller ctl;
     struct amb_server *front, *side;
 };
--- a/include/amberpin/settings.h
+++ b/include/amberpin/settings.h
@@ -25,6 +25,9 @@
     char zones[AMB_ZONES][AMB_NAME];
     double report_s, lease_s, gang_wait_s, gang_peer_s, cancel_s;
     double state_rps, state_write_rps, value_kb, txn_ops;
+    struct amb_state_limits {
+        double write_rps, value_kb, txn_ops;
+    } state_next; /* as announced; 0: not announced. Use amb_settings_lowered_limits */
     double cloud_rps, list_lag_s;
     double cores, memory_mb, fd_limit, skew_ms;
 };
@@ -33,6 +36,9 @@
 /* Seconds that the leader's own turns are measured in: the report period, unless work is to start so soon
  * that waiting for turns of that length would use up much of its time. */
 double amb_settings_beat(const struct amb_settings *s);
+/* The limits that the state service may have from some moment on, without notice (`state.next`). Without an
+ * announcement, the present ones; never more than these. */
+struct amb_state_limits amb_settings_lowered_limits(const struct amb_settings *s);
 /* False: err holds one line that names file and field. */
 bool amb_settings_load(const char *path, struct amb_settings *s, char *err, size_t cap);
 
--- a/lib/change_feed.c
+++ b/lib/change_feed.c
@@ -10,11 +10,14 @@
 static const char PREFIX[] = "a/";
 static const char JOB_PREFIX[] = "a/job/";
 static const char LEADER_KEY[] = "a/leader";
+static const char FORMAT_KEY[] = "a/format";
 static const char DEPUTY_PREFIX[] = "a/deputy/";
 
 static void apply_item(struct amb_node *node, const char *key, const cbor_item_t *value, uint64_t stamp) {
     if (!strcmp(key, LEADER_KEY))
         amb_election_key(node, value, stamp);
+    else if (!strcmp(key, FORMAT_KEY))
+        amb_format_key(node, value);
     else if (!strncmp(key, DEPUTY_PREFIX, sizeof DEPUTY_PREFIX - 1))
         amb_deputy_key(node, key + sizeof DEPUTY_PREFIX - 1, value, stamp);
     else if (!strncmp(key, JOB_PREFIX, sizeof JOB_PREFIX - 1))
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -112,9 +112,19 @@
  * earlier self of it can have told a user of. */
 static json_t *describe(struct amb_node *n) {
     struct amb_peer_facts f = own_facts(n);
-    return json_pack("{s:s, s:b, s:I, s:b, s:b, s:b}", "from", n->set.member, "loaded", f.loaded, "term",
-                     (json_int_t)f.term, "leading", f.leading, "store", f.store_ok, "reports_arrive",
-                     f.reports_arrive);
+    json_t *said = json_pack("{s:s, s:b, s:I, s:b, s:b, s:b}", "from", n->set.member, "loaded", f.loaded,
+                             "term", (json_int_t)f.term, "leading", f.leading, "store", f.store_ok,
+                             "reports_arrive", f.reports_arrive);
+    /* The first format had no name. */
+    if (amb_format_spoken(n) > AMB_FORMAT_1)
+        json_object_set_new(said, "format", json_integer(amb_format_spoken(n)));
+    return said;
+}
+
+static enum amb_format read_format(const json_t *said) {
+    json_int_t format = json_integer_value(json_object_get(said, "format"));
+    if (format < AMB_FORMAT_1) return AMB_FORMAT_UNKNOWN;
+    return format < AMB_FORMAT_LATEST ? (enum amb_format)format : AMB_FORMAT_LATEST;
 }
 
 void amb_peer_heard(struct amb_node *n, struct amb_peer *p, const json_t *said, amb_ms sent_at) {
@@ -125,6 +135,7 @@
         term < 0)
         return;
     p->heard_at = amb_now();
+    amb_format_heard(p, read_format(said));
     learn_cancellations(n, json_object_get(said, "cancelled"));
     p->term = (uint64_t)term;
     p->leading = leading;
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -24,6 +24,8 @@
 #define NUM(path, f, low, high)                                                                              \
     { path, false, true, S(f), 0, 0, 0, low, high }
 /* NOLINTBEGIN(bugprone-macro-parentheses): the name of a member can't stand in parentheses */
+#define OPTIONAL_NUM(path, f, low, high)                                                                     \
+    { path, false, false, S(f), 0, 0, 0, low, high }
 #define ITEM_TEXT(path, list, f, n, max)                                                                     \
     { path, true, false, S(list[0].f), sizeof(((struct amb_settings *)0)->list[0]), max, S(n), 0, 0 }
 #define ITEM_NUM(path, list, f, n, max)                                                                      \
@@ -58,6 +60,9 @@
     NUM("params.state.write_rps", state_write_rps, 1, 1e6),
     NUM("params.state.value_kb", value_kb, 1, 64),
     NUM("params.state.txn_ops", txn_ops, 1, 10000),
+    OPTIONAL_NUM("params.state.next.write_rps", state_next.write_rps, 1, 1e6),
+    OPTIONAL_NUM("params.state.next.value_kb", state_next.value_kb, 1, 64),
+    OPTIONAL_NUM("params.state.next.txn_ops", state_next.txn_ops, 1, 10000),
     NUM("params.cloud.rps", cloud_rps, 0.05, 1e6),
     NUM("params.cloud.list_lag_s", list_lag_s, 0, 3600),
     NUM("params.quota.cores", cores, 0.001, 1024),
@@ -147,6 +152,18 @@
     return fmax(beat, s->report_s / 4); /* turns cost processor time */
 }
 
+/* A limit that is not announced stays as it is. One that rises later is of no use to us: we would have to
+ * tell by trial that it has risen. */
+static double lowered_limit(double now, double announced) {
+    return announced > 0 ? fmin(now, announced) : now;
+}
+
+struct amb_state_limits amb_settings_lowered_limits(const struct amb_settings *s) {
+    return (struct amb_state_limits){.write_rps = lowered_limit(s->state_write_rps, s->state_next.write_rps),
+                                     .value_kb = lowered_limit(s->value_kb, s->state_next.value_kb),
+                                     .txn_ops = lowered_limit(s->txn_ops, s->state_next.txn_ops)};
+}
+
 bool amb_settings_load(const char *path, struct amb_settings *s, char *err, size_t cap) {
     memset(s, 0, sizeof *s);
     struct reader r = {.s = s, .file = path, .err = err, .cap = cap};
--- /dev/null
+++ b/tests/test_formats.c
@@ -0,0 +1,248 @@
+/* Which format nodes of two versions use: what is announced, when the leader writes it down for good, and
+ * that nobody uses the newer one before. */
+#include "amberpin/formats.h"
+#include "check.h"
+#include "fake_http.h"
+#include "node_fixture.h"
+
+#include <jansson.h>
+
+enum { PEERS = 2, WRITTEN = TERM + 10 };
+
+static void begin(void) {
+    fake_http_reset();
+    setup(NULL);
+    strcpy(node->set.member, "n-0");
+    strcpy(node->set.state, "state:1");
+    node->set.state_rps = node->set.state_write_rps = 1000;
+    node->set.npeers = PEERS;
+    amb_store_init(&node->store, &node->set, 1000);
+    amb_store_share(&node->store, true);
+    node->peers.count = PEERS;
+    for (uint32_t i = 0; i < PEERS; i++) snprintf(node->peers.list[i].member, AMB_NAME, "n-%u", i + 1);
+}
+
+static void end(void) {
+    fake_answer_all_lost();
+    fake_http_reset();
+    teardown(NULL);
+}
+
+/* A peer's message; format 0: it names none, as the first version does. */
+static void hear(uint32_t peer, int format) {
+    json_t *said = json_pack("{s:b, s:I, s:b, s:b, s:b}", "loaded", 1, "term", (json_int_t)TERM, "leading", 0,
+                             "store", 1, "reports_arrive", 0);
+    if (format) json_object_set_new(said, "format", json_integer(format));
+    amb_peer_heard(node, &node->peers.list[peer], said, 0);
+    json_decref(said);
+}
+
+static void answer_epoch(struct fake_call *call) {
+    struct amb_buf body = {0};
+    amb_w_map(&body, 1);
+    amb_w_str(&body, "epoch");
+    amb_w_uint(&body, WRITTEN);
+    fake_answer(call, 200, &body);
+}
+
+static cbor_item_t *format_value(int format) {
+    struct amb_buf body = {0};
+    amb_w_map(&body, 1);
+    amb_w_str(&body, "format");
+    amb_w_uint(&body, (uint64_t)format);
+    cbor_item_t *value = amb_cbor_parse(body.data, body.len);
+    amb_buf_free(&body);
+    return value;
+}
+
+static void news_of_key(int format) {
+    cbor_item_t *value = format_value(format);
+    amb_format_key(node, value);
+    cbor_decref(&value);
+}
+
+static void announced(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        enum amb_format held_at;
+        json_int_t want; /* 0: none */
+    } rows[] = {
+        {"a node of this version", AMB_FORMAT_UNKNOWN, 2},
+        {"held at the first format", AMB_FORMAT_1, 0},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin();
+        node->formats.held_at = rows[i].held_at;
+        for (int leads = 0; leads < 2; leads++) {
+            node->election.role = leads ? AMB_ROLE_LEADING : AMB_ROLE_FOLLOWING;
+            char *text = amb_peer_say(node);
+            json_t *messages[] = {json_loads(text, 0, NULL), amb_peer_answer(node, NULL)};
+            for (size_t m = 0; m < ROWS(messages); m++) {
+                json_int_t format = json_integer_value(json_object_get(messages[m], "format"));
+                if (format != rows[i].want)
+                    fail_msg("%s, %s %s: %lld", rows[i].what, leads ? "leading," : "following,",
+                             m ? "answer" : "heartbeat", (long long)format);
+                json_decref(messages[m]);
+            }
+            free(text);
+        }
+        node->election.role = AMB_ROLE_LEADING;
+        end();
+    }
+}
+
+/* Words of the two peers in turn: peer, format. */
+struct word {
+    uint32_t peer;
+    int format;
+};
+
+static void written_when_all_have_said_so(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        struct word words[4];
+        uint32_t count;
+        bool upgrade_over, follows, held, loading, known_old, writes;
+    } rows[] = {
+        {"nobody heard", {{0, 0}}, 0, .known_old = false, .writes = false},
+        {"one heard, new", {{0, 2}}, 1, .known_old = false, .writes = false},
+        {"one heard, old", {{0, 0}}, 1, .known_old = true, .writes = false},
+        {"one new, one old", {{0, 2}, {1, 0}}, 2, .known_old = true, .writes = false},
+        {"one old by name", {{0, 2}, {1, 1}}, 2, .known_old = true, .writes = false},
+        {"both new", {{0, 2}, {1, 2}}, 2, .known_old = false, .writes = true},
+        {"both of a version to come", {{0, 3}, {1, 3}}, 2, .known_old = false, .writes = true},
+        {"old, then new", {{0, 0}, {1, 2}, {0, 2}}, 3, .known_old = false, .writes = true},
+        {"new, then old", {{0, 2}, {0, 0}, {1, 2}}, 3, .known_old = true, .writes = false},
+        {"both new, follows", {{0, 2}, {1, 2}}, 2, .follows = true, .known_old = false, .writes = false},
+        {"both new, reads records",
+         {{0, 2}, {1, 2}},
+         2,
+         .loading = true,
+         .known_old = false,
+         .writes = false},
+        {"both new, held at 1", {{0, 2}, {1, 2}}, 2, .held = true, .known_old = false, .writes = false},
+        {"one unheard, upgrade over", {{0, 2}}, 1, .upgrade_over = true, .known_old = false, .writes = true},
+        {"one old long ago, upgrade over",
+         {{0, 0}},
+         1,
+         .upgrade_over = true,
+         .known_old = true,
+         .writes = true},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin();
+        for (uint32_t w = 0; w < rows[i].count; w++) hear(rows[i].words[w].peer, rows[i].words[w].format);
+        if (rows[i].upgrade_over) amb_format_upgrade_over(node, "test");
+        if (rows[i].follows) node->election.role = AMB_ROLE_FOLLOWING;
+        if (rows[i].held) node->formats.held_at = AMB_FORMAT_1;
+        if (rows[i].loading) node->ctl.loaded_at = 0;
+        if (amb_format_known_old(node) != rows[i].known_old) fail_msg("%s: known_old", rows[i].what);
+        amb_format_tick(node, amb_now());
+        amb_format_tick(node, amb_now());
+        if (fake_calls_open("POST", "/commit") != rows[i].writes) fail_msg("%s: writes", rows[i].what);
+        assert_int_equal(amb_format_in_use(node), AMB_FORMAT_1);
+        node->election.role = AMB_ROLE_LEADING;
+        end();
+    }
+}
+
+static void key_is_guarded(void **state) {
+    (void)state;
+    begin();
+    hear(0, 2);
+    hear(1, 2);
+    amb_format_tick(node, amb_now());
+    struct fake_call *commit = fake_call_open("/commit");
+    assert_non_null(commit);
+    uint64_t lease, format;
+    const cbor_item_t *value = fake_txn_put(commit, "a/format", &lease);
+    assert_true(amb_cbor_uint(amb_cbor_get(value, "format"), &format) && format == 2);
+    assert_int_equal(lease, 0); /* it stays when its writer ends */
+    assert_int_equal(fake_txn_guard(commit, "a/leader"), TERM);
+    assert_int_equal(fake_txn_guard(commit, "a/format"), 0);
+    end();
+}
+
+/* In use only once the key is known to stand there; never again out of use. */
+static void in_use_once_written(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        int status;
+        bool held;
+        int news; /* what the key then says; 0: no news */
+        enum amb_format in_use;
+        bool again; /* the write is sent once more */
+    } rows[] = {
+        {"written", 200, false, 0, AMB_FORMAT_2, false},
+        {"no answer", 0, false, 0, AMB_FORMAT_1, true},
+        {"no answer, but news", 0, false, 2, AMB_FORMAT_2, false},
+        {"refused, somebody else wrote it", 409, false, 2, AMB_FORMAT_2, false},
+        {"too many changes", 429, false, 0, AMB_FORMAT_1, true},
+        {"outage", 503, false, 0, AMB_FORMAT_1, true},
+        {"a version to come wrote it", 409, false, 3, AMB_FORMAT_2, false},
+        {"an older node ignores it", 409, true, 2, AMB_FORMAT_1, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin();
+        hear(0, 2);
+        hear(1, 2);
+        amb_format_tick(node, amb_now());
+        struct fake_call *commit = fake_call_open("/commit");
+        assert_non_null(commit);
+        if (rows[i].status == 200)
+            answer_epoch(commit);
+        else
+            fake_answer(commit, rows[i].status, NULL);
+        if (rows[i].held) node->formats.held_at = AMB_FORMAT_1;
+        if (rows[i].news) news_of_key(rows[i].news);
+        if (amb_format_in_use(node) != rows[i].in_use)
+            fail_msg("%s: %d in use", rows[i].what, (int)amb_format_in_use(node));
+        node->store.held_until = 0;
+        amb_format_tick(node, amb_now() + 60000);
+        if (fake_calls_open("POST", "/commit") != rows[i].again) fail_msg("%s: again", rows[i].what);
+        /* A late message of an ended process, or news that the key is gone, take nothing back. */
+        hear(0, 0);
+        amb_format_key(node, NULL);
+        news_of_key(1);
+        if (amb_format_in_use(node) != rows[i].in_use) fail_msg("%s: taken back", rows[i].what);
+        if (rows[i].in_use == AMB_FORMAT_2 && amb_format_known_old(node))
+            fail_msg("%s: an old node where none can be", rows[i].what);
+        end();
+    }
+}
+
+/* A node that begins learns it with its first listing. */
+static void read_at_the_start(void **state) {
+    (void)state;
+    begin();
+    node->jobs.loaded = false;
+    amb_jobs_init(node);
+    struct fake_call *list = fake_call_open("/store?prefix=a/");
+    assert_non_null(list);
+    struct amb_buf body = {0};
+    amb_w_map(&body, 3);
+    amb_w_str(&body, "epoch"), amb_w_uint(&body, WRITTEN);
+    amb_w_str(&body, "truncated"), amb_w_bool(&body, false);
+    amb_w_str(&body, "pairs"), amb_w_list(&body, 1);
+    amb_w_map(&body, 3);
+    amb_w_str(&body, "path"), amb_w_str(&body, "a/format");
+    amb_w_str(&body, "stamp"), amb_w_uint(&body, WRITTEN);
+    amb_w_str(&body, "value"), amb_w_map(&body, 1), amb_w_str(&body, "format"), amb_w_uint(&body, 2);
+    assert_int_equal(amb_format_in_use(node), AMB_FORMAT_1);
+    fake_answer(list, 200, &body);
+    assert_int_equal(amb_format_in_use(node), AMB_FORMAT_2);
+    amb_timer_stop(&node->jobs.follow_timer);
+    end();
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(announced),         cmocka_unit_test(written_when_all_have_said_so),
+        cmocka_unit_test(key_is_guarded),    cmocka_unit_test(in_use_once_written),
+        cmocka_unit_test(read_at_the_start),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -34,9 +34,45 @@
     assert_int_equal(s.nzones, 2);
     assert_true(s.teams[0].limit.gpus == 32 && s.teams[0].guarantee.gpus == 16);
     assert_true(s.value_kb == 8 && s.fd_limit == 800);
+    assert_true(s.state_next.value_kb == 2 && s.state_next.write_rps == 15 && s.state_next.txn_ops == 4);
     assert_string_equal(s.objectives[0].class_name, "train");
 }
 
+/* What the state service will allow: as announced, or as now. */
+static void lowered_limits(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *announced;
+        struct amb_state_limits want;
+    } rows[] = {
+        {"all three", "[params.state.next]\nwrite_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 4\n", {15, 2, 4}},
+        {"none", "", {20, 8, 8}},
+        {"an empty table", "[params.state.next]\n", {20, 8, 8}},
+        {"values alone", "[params.state.next]\nvalue_kb = 2\n", {20, 2, 8}},
+        {"the rate alone", "[params.state.next]\nwrite_rps = 15\n", {15, 8, 8}},
+        {"raised", "[params.state.next]\nwrite_rps = 30\nvalue_kb = 16\ntxn_ops = 9\n", {20, 8, 8}},
+    };
+    static const char announcement[] = "[params.state.next]\nwrite_rps = 15.0\nvalue_kb = 2.0\ntxn_ops = 4\n";
+    char *good = slurp("tests/data/good.toml");
+    char *at = strstr(good, announcement);
+    assert_non_null(at);
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        char text[65536], path[64], err[256] = "";
+        struct amb_settings s;
+        snprintf(text, sizeof text, "%.*s%s%s", (int)(at - good), good, rows[i].announced,
+                 at + strlen(announcement));
+        spill(path, text);
+        if (!amb_settings_load(path, &s, err, sizeof err)) fail_msg("%s: %s", rows[i].what, err);
+        unlink(path);
+        struct amb_state_limits got = amb_settings_lowered_limits(&s);
+        if (got.write_rps != rows[i].want.write_rps || got.value_kb != rows[i].want.value_kb ||
+            got.txn_ops != rows[i].want.txn_ops)
+            fail_msg("%s: %g writes, %g KiB, %g changes", rows[i].what, got.write_rps, got.value_kb,
+                     got.txn_ops);
+    }
+    free(good);
+}
+
 /* Starts aimed at sooner than reports allow for once waited for the leader's own turns. */
 static void beat_follows_the_shortest_start(void **state) {
     (void)state;
@@ -69,6 +105,10 @@
         {"front = \"127.0.0.1:0\"", "front = 7", "front: must be a short text"},
         {"lease_s = 10.0", "lease_s = -1.0", "params.workers.lease_s: must be a number within its bounds"},
         {"lease_s = 10.0", "lease_s = \"ten\"", "params.workers.lease_s: must be a number within its bounds"},
+        {"value_kb = 2.0", "value_kb = 0.5",
+         "params.state.next.value_kb: must be a number within its bounds"},
+        {"write_rps = 15.0", "write_rps = \"few\"", "params.state.next.write_rps: must be a number within"},
+        {"txn_ops = 4", "txn_ops = 0", "params.state.next.txn_ops: must be a number within its bounds"},
         {"fd_limit = 800", "", "params.quota.fd_limit: is missing"},
         {"gpus_max = 32.0", "gpus_max = \"all\"", "params.teams[0].gpus_max: must be a number"},
         {"name = \"vision\"", "", "params.teams[]: needs a name"},
@@ -133,6 +173,7 @@
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(good_settings_load),
+        cmocka_unit_test(lowered_limits),
         cmocka_unit_test(beat_follows_the_shortest_start),
         cmocka_unit_test(bad_settings_are_named),
         cmocka_unit_test(options),
