--- a/tests/standin/explore.c
+++ b/tests/standin/explore.c
@@ -22,6 +22,7 @@
     CLUSTER_MS = 6000, /* within which the faults of a cluster begin */
     AFTER_MS = 140000, /* that a day goes on after its last fault */
     LENGTH_MS = 300000,
+    LOADS = 5,
 };
 
 static const char *const kinds[] = {
@@ -31,7 +32,7 @@
     "SIM_BAD_MACHINE", "SIM_NO_CAPACITY",  "SIM_ZONES_APART",     "SIM_MUTE",          "SIM_LATE_WRITES",
     "SIM_LOST_WRITES", "SIM_LATE_REPORTS", "SIM_KEPT_REPORTS",    "SIM_LATE_COMMANDS", "SIM_QUICK_BOOTS",
     "SIM_SLOW_STATE",  "SIM_CANCEL_NOW",   "SIM_CANCEL_AT_END",   "SIM_CLOSE_LOOKS",   "SIM_ODD_REQUESTS",
-    "SIM_SLOW_LINKS",  "SIM_CLOUD_OUTAGE",
+    "SIM_SLOW_LINKS",  "SIM_CLOUD_OUTAGE", "SIM_LOWER_LIMITS",
 };
 _Static_assert(sizeof kinds / sizeof *kinds == SIM_FAULTS, "a name for each kind of fault");
 
@@ -98,7 +99,7 @@
 
 static void draw_fault(uint64_t *state, const struct sim_size *size, amb_ms cluster,
                        struct sim_fault *fault) {
-    fault->kind = (enum sim_fault_kind)(next_random(state) % SIM_FAULTS);
+    fault->kind = (enum sim_fault_kind)(next_random(state) % SIM_LOWER_LIMITS);
     fault->at = cluster + pick(state, 0, CLUSTER_MS);
     fault->lasts = draw_length(state, size);
     fault->which = draw_which(state, fault->kind, size);
@@ -121,7 +122,7 @@
         amb_ms needed = day->faults[i].at + day->faults[i].lasts + AFTER_MS;
         if (needed > day->plan.length) day->plan.length = needed;
     }
-    if (next_random(&state) % 2) day->plan.load = 1u << next_random(&state) % 5;
+    if (next_random(&state) % 2) day->plan.load = 1u << next_random(&state) % LOADS;
     if (next_random(&state) % 4 == 0) day->plan.load |= SIM_LOAD_TIGHT_TEAMS;
     if (day->plan.load & SIM_LOAD_CROWDED) day->plan.load &= ~(unsigned)SIM_LOAD_TIGHT_TEAMS;
 }
@@ -165,7 +166,8 @@
     while (smaller) {
         smaller = false;
         for (size_t i = day->plan.fault_count; i-- > 0;) smaller |= try_without_fault(day, i);
-        for (unsigned load = 1; load <= SIM_LOAD_CROWDED; load <<= 1) smaller |= try_without_load(day, load);
+        for (unsigned load = 1; load <= SIM_LOAD_PIPELINES; load <<= 1)
+            smaller |= try_without_load(day, load);
     }
     for (size_t i = 0; i < day->plan.fault_count; i++)
         while (try_shorter_fault(day, i)) {}
@@ -175,7 +177,7 @@
 
 static void print_load(unsigned load) {
     static const char *const names[] = {"SIM_LOAD_ZONE_BOUND", "SIM_LOAD_TIGHT_TEAMS", "SIM_LOAD_STREAM",
-                                        "SIM_LOAD_UNEVEN", "SIM_LOAD_CROWDED"};
+                                        "SIM_LOAD_UNEVEN",     "SIM_LOAD_CROWDED",     "SIM_LOAD_PIPELINES"};
     if (!load) printf("0");
     const char *separator = "";
     for (size_t i = 0; i < sizeof names / sizeof *names; i++)
--- a/tests/standin/rules.c
+++ b/tests/standin/rules.c
@@ -51,8 +51,21 @@
     return crowd;
 }
 
+/* Its own cancellation, or that of a job before it, was told so long ago that nothing of it may be left. */
 static bool past_cancel(const struct sim_job *job) {
-    return job->cancel_told && world.now > job->cancel_told_at + world.size->cancel;
+    amb_ms told = sim_cancel_told_at(job);
+    return told && world.now > told + world.size->cancel;
+}
+
+/* Whoever is told that a job is cancelled will never see it done, whatever its tasks did. */
+static void check_needs(const struct sim_job *job) {
+    for (int i = 0; i < job->await_count; i++) {
+        const struct sim_job *needed = &world.jobs[job->awaits[i]];
+        if (!sim_all_done(needed))
+            sim_broken("too_early: %s, %s is not done", job->spec.ref, needed->spec.ref);
+        else if (needed->cancel_told)
+            sim_broken("too_early: %s, %s is cancelled", job->spec.ref, needed->spec.ref);
+    }
 }
 
 void sim_check_start(const struct sim_machine *machine, const struct sim_task *task) {
@@ -71,6 +84,7 @@
     if (spec->one_zone && crowd.in_zone[1 - machine->zone])
         sim_broken("wrong_place: %s not in one zone, %s", task->ref, machine->name);
     if (past_cancel(job)) sim_broken("ran_cancelled: %s started on %s", task->ref, machine->name);
+    check_needs(job);
 }
 
 void sim_check_task(const struct sim_machine *machine, const struct sim_task *task) {
@@ -83,12 +97,20 @@
     return final ? SIM_FINAL : SIM_ACCEPTED;
 }
 
+/* 400: the submission is malformed; 422: the job can never run. */
+static int refusal_of(enum sim_oddity oddity) {
+    return oddity == SIM_LACKS_FIELD || oddity == SIM_AWAITS_MALFORMED ? 400 : 422;
+}
+
 static void check_refusal(struct sim_job *job, const struct sim_call *call) {
     if (call->known_before >= SIM_ACCEPTED)
         sim_broken("forgotten: %s refused", job->spec.ref);
     else if (job->oddity == SIM_SOUND)
         sim_broken("refused: %s, which can run", job->spec.ref);
+    else if (call->status != refusal_of(job->oddity))
+        sim_broken("refused: %s with %d, oddity %d", job->spec.ref, call->status, (int)job->oddity);
     if (!job->refused && job->oddity != SIM_SOUND) world.result.refused++;
+    if (!job->refused && job->oddity == SIM_AWAITS_UNKNOWN) world.result.unknown_refused++;
     job->refused = true;
 }
 
@@ -100,20 +122,54 @@
         sim_broken("went_back: %s, from one end to another", job->spec.ref);
 }
 
+/* A job that its user did not ask to cancel is cancelled only with one that it needs. */
+static void check_cause(const struct sim_job *job) {
+    if (!sim_cancel_wanted(job)) sim_broken("went_back: %s cancelled by nobody", job->spec.ref);
+}
+
+/* Jobs that were called cancelled with this one, which is now called done. */
+static void check_cancelled_with(const struct sim_job *job) {
+    for (int i = 0; i < world.job_count; i++) {
+        const struct sim_job *other = &world.jobs[i];
+        if (other->cancel_told && !other->cancel_wanted && sim_is_before(job, other)) check_cause(other);
+    }
+}
+
+static void check_orphan(const struct sim_job *job) {
+    amb_ms told = sim_cancel_told_at(job);
+    if (told && world.now > told + world.size->cancel)
+        sim_broken("orphaned: %s, %lld ms after one that it needs was cancelled", job->spec.ref,
+                   (long long)(world.now - told));
+}
+
+static void tell_cancelled(struct sim_job *job) {
+    if (job->cancel_told) return;
+    job->cancel_told = true;
+    job->cancel_told_at = world.now;
+    world.result.cancelled++;
+    if (!job->cancel_wanted) world.result.dependants_cancelled++;
+}
+
+static void tell_done(struct sim_job *job) {
+    if (job->done_told) return;
+    job->done_told = true;
+    world.result.done++;
+    if (job->await_count) world.result.dependants_done++;
+    if (job->pipeline) check_cancelled_with(job);
+}
+
 static void tell(struct sim_job *job, bool done, bool cancelled) {
     enum sim_known before = job->known;
     job->answered_at = world.now;
     if (!job->accepted) world.result.accepted++;
+    if (!job->accepted && job->await_count) world.result.dependants++;
     job->accepted = true;
-    if (done && !job->done_told) world.result.done++;
-    job->done_told |= done;
-    if (cancelled && !job->cancel_told) {
-        job->cancel_told = true;
-        job->cancel_told_at = world.now;
-        world.result.cancelled++;
-    }
+    if (done) tell_done(job);
+    if (cancelled) tell_cancelled(job);
     job->known = done || cancelled ? SIM_FINAL : before > SIM_ACCEPTED ? before : SIM_ACCEPTED;
-    if (job->known > before) sim_look_closely(job);
+    if (job->known == before) return;
+    sim_look_closely(job);
+    sim_look_at_pipeline(job);
 }
 
 void sim_check_answer(const struct sim_call *call, const cbor_item_t *body) {
@@ -126,7 +182,8 @@
     if (call->status != 200 && call->status != 201) return;
     if (job->oddity != SIM_SOUND) sim_broken("took_unfit: %s, oddity %d", job->spec.ref, (int)job->oddity);
     if (done && !sim_all_done(job)) sim_broken("not_done: %s", job->spec.ref);
-    if (cancelled && !job->cancel_wanted) sim_broken("went_back: %s cancelled by nobody", job->spec.ref);
+    if (cancelled) check_cause(job);
+    if (!done && !cancelled) check_orphan(job);
     check_age(job, call, done, cancelled);
     tell(job, done, cancelled);
 }
@@ -140,8 +197,9 @@
 }
 
 void sim_check_order(const struct sim_job *job, amb_ms issued) {
-    if (!job->cancel_told || issued <= job->cancel_told_at) return;
-    amb_ms late = issued - job->cancel_told_at;
+    amb_ms told = sim_cancel_told_at(job);
+    if (!told || issued <= told) return;
+    amb_ms late = issued - told;
     world.result.orders_after_cancel++;
     if (late > world.result.latest_order) world.result.latest_order = late;
     if (late > latest_ignorance())
@@ -219,8 +277,8 @@
 
 static void check_waiting(const struct survey *survey, struct sim_job *job) {
     uint64_t placed = survey->placed[job - world.jobs];
-    bool waits = job->accepted && !job->cancel_wanted && !job->done_told && placed == job->was_placed &&
-                 has_waiting_task(survey, job) && has_room(survey, job);
+    bool waits = job->accepted && !sim_cancel_wanted(job) && !job->done_told && sim_needs_done(job) &&
+                 placed == job->was_placed && has_waiting_task(survey, job) && has_room(survey, job);
     job->was_placed = placed;
     if (!waits || world.now < world.troubles_over) job->waits_from = world.now;
     if (world.now - job->waits_from > LONGEST_WAIT_MS)
@@ -245,7 +303,7 @@
 void sim_check_end(void) {
     for (int i = 0; i < world.job_count; i++) {
         const struct sim_job *job = &world.jobs[i];
-        if (job->accepted && job->spec.kind != AMB_SERVICE && !job->cancel_wanted && !job->done_told)
+        if (job->accepted && job->spec.kind != AMB_SERVICE && !sim_cancel_wanted(job) && !job->done_told)
             world.result.open++;
         if (getenv("SIM_TRACE") && job->accepted && !job->done_told && !job->cancel_told)
             printf("open: %s kind %d tasks %u\n", job->spec.ref, (int)job->spec.kind, job->spec.tasks);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -52,6 +52,7 @@
     SIM_ODD_REQUESTS,    /* submissions repeated, spoilt or unfit, cancellations of jobs that are done */
     SIM_SLOW_LINKS,      /* every message takes up to 0.3 s */
     SIM_CLOUD_OUTAGE,    /* the cloud refuses every call */
+    SIM_LOWER_LIMITS,    /* the state service lowers its limits, from then on for good */
     SIM_FAULTS,
 };
 
@@ -70,6 +71,7 @@
     SIM_LOAD_STREAM = 4,   /* jobs of one short task, four a second, a quarter of them cancelled */
     SIM_LOAD_UNEVEN = 8,   /* jobs of two or three tasks that end far apart */
     SIM_LOAD_CROWDED = 16, /* more work than room, urgent and not, and limits that don't bind */
+    SIM_LOAD_PIPELINES = 32, /* jobs that await others, some cancelled on the way; jobs of many tasks */
 };
 
 /* A day: everything in it follows from these. */
@@ -91,6 +93,12 @@
     uint32_t orders_after_cancel;  /* run orders sent after the cancellation was confirmed */
     uint32_t starts_after_cancel;  /* starts of tasks after it, of orders sent before it too */
     amb_ms latest_order;           /* the longest that an order was sent after the confirmation */
+    uint32_t dependants;           /* accepted jobs that await others */
+    uint32_t dependants_done;      /* of them */
+    uint32_t dependants_cancelled; /* with a job that they need, their own user has not asked for it */
+    uint32_t unknown_refused;      /* submissions that await a job that was never accepted */
+    uint32_t size_refusals;        /* transactions beyond the limits of the state service's lowered sizes */
+    uint32_t rate_refusals;        /* changes beyond its rate */
     char broken[256];              /* the first rule broken; empty: none */
 };
 
--- a/tests/standin/state_service.c
+++ b/tests/standin/state_service.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+static const double NEXT_WRITES_SHARE = 0.6; /* of the rate of changes, once limits are lowered */
+
 static int key_find(const char *key) {
     for (int i = 0; i < world.state.key_count; i++)
         if (!strcmp(world.state.keys[i].key, key)) return i;
@@ -164,6 +166,96 @@
     return count;
 }
 
+/* ---- limits: sizes are counted in JSON form ---- */
+
+static size_t json_text_size(const cbor_item_t *text) {
+    enum { QUOTES = 2, ESCAPED = 2, ESCAPED_CONTROL = 6, FIRST_PRINTED = 32 };
+    const unsigned char *bytes = cbor_string_handle(text);
+    size_t size = QUOTES;
+    for (size_t i = 0; i < cbor_string_length(text); i++)
+        size += bytes[i] == '"' || bytes[i] == '\\' ? ESCAPED
+                : bytes[i] < FIRST_PRINTED          ? ESCAPED_CONTROL
+                                                    : 1;
+    return size;
+}
+
+static size_t json_number_size(const cbor_item_t *number) {
+    char text[64];
+    if (cbor_isa_uint(number))
+        return (size_t)snprintf(text, sizeof text, "%llu", (unsigned long long)cbor_get_int(number));
+    if (cbor_isa_negint(number))
+        return 1 + (size_t)snprintf(text, sizeof text, "%llu", (unsigned long long)cbor_get_int(number) + 1);
+    return (size_t)snprintf(text, sizeof text, "%.17g", cbor_float_get_float(number)) + strlen(".0");
+}
+
+/* Of what a put carries: nested no deeper than a job's description within its record. */
+static size_t json_size(const cbor_item_t *value) { /* NOLINT(misc-no-recursion) */
+    enum { LITERAL = 5, BRACKETS = 2, SEPARATOR = 1 };
+    size_t size = BRACKETS;
+    if (cbor_isa_string(value)) return json_text_size(value);
+    if (cbor_isa_map(value)) {
+        for (size_t i = 0; i < cbor_map_size(value); i++) {
+            const struct cbor_pair *pair = &cbor_map_handle(value)[i];
+            size += json_size(pair->key) + json_size(pair->value) + (size_t)2 * SEPARATOR;
+        }
+        return size;
+    }
+    if (cbor_isa_array(value)) {
+        for (size_t i = 0; i < cbor_array_size(value); i++)
+            size += json_size(cbor_array_handle(value)[i]) + SEPARATOR;
+        return size;
+    }
+    if (cbor_isa_float_ctrl(value) && cbor_float_ctrl_is_ctrl(value)) return LITERAL;
+    return json_number_size(value);
+}
+
+static bool limits_lowered(void) {
+    for (size_t i = 0; i < world.fault_count; i++)
+        if (world.faults[i].kind == SIM_LOWER_LIMITS && world.now >= world.faults[i].at) return true;
+    return false;
+}
+
+static bool exceeds(const cbor_item_t *operations, size_t operations_most, size_t value_most) {
+    if (amb_cbor_len(operations) > operations_most) return true;
+    for (size_t i = 0; i < amb_cbor_len(operations); i++) {
+        const cbor_item_t *value = amb_cbor_get(amb_cbor_at(operations, i), "value");
+        if (value && json_size(value) > value_most) return true;
+    }
+    return false;
+}
+
+/* Beyond the first limits is a fault of ours; beyond the lowered ones can be bad luck, once. */
+static bool too_large(const cbor_item_t *operations) {
+    if (exceeds(operations, SIM_TXN_OPS, SIM_VALUE_BYTES)) {
+        sim_broken("a transaction over the limit");
+        return true;
+    }
+    if (!limits_lowered() || !exceeds(operations, SIM_NEXT_TXN_OPS, SIM_NEXT_VALUE_BYTES)) return false;
+    world.result.size_refusals++;
+    return true;
+}
+
+/* A bucket that holds one second's worth. */
+static void refill_changes(double rate) {
+    double elapsed_s = (double)(world.now - world.state.change_tokens_at) / 1000;
+    double tokens = world.state.change_tokens + elapsed_s * rate;
+    world.state.change_tokens = tokens < rate ? tokens : rate;
+    world.state.change_tokens_at = world.now;
+}
+
+/* Only on days on which the limits are lowered: what they are for. */
+static bool too_many(const cbor_item_t *operations) {
+    double count = (double)amb_cbor_len(operations);
+    if (!sim_fault_planned(SIM_LOWER_LIMITS)) return false;
+    refill_changes(world.size->writes * (limits_lowered() ? NEXT_WRITES_SHARE : 1));
+    if (world.state.change_tokens < count) {
+        world.result.rate_refusals++;
+        return true;
+    }
+    world.state.change_tokens -= count;
+    return false;
+}
+
 static bool names_ended_lease(const cbor_item_t *operations) {
     uint64_t lease;
     for (size_t i = 0; i < amb_cbor_len(operations); i++)
@@ -225,9 +317,10 @@
     cbor_item_t *body = amb_cbor_parse(call->body, call->len);
     const cbor_item_t *operations = amb_cbor_get(body, "then");
     struct amb_buf names = {0};
-    if (amb_cbor_len(operations) > SIM_TXN_OPS) sim_broken("a transaction over the limit");
     size_t failed = failed_guards(amb_cbor_get(body, "guards"), &names);
-    if (names_ended_lease(operations)) {
+    if (too_many(operations)) {
+        sim_call_answer(call, 429, NULL);
+    } else if (too_large(operations) || names_ended_lease(operations)) {
         sim_call_answer(call, 400, NULL);
     } else if (failed) {
         conflict_answer(call, failed, &names);
--- a/tests/standin/users.c
+++ b/tests/standin/users.c
@@ -6,12 +6,14 @@
 #include <string.h>
 
 enum { SUBMIT_TIMEOUT_MS = 5000, QUESTION_TIMEOUT_MS = 2000, ASK_EARLY_MS = 1500 };
-enum { /* of a burst of cancellations */
+enum { WATCH_LEAST_MS = 10, WATCH_MOST_MS = 100 }; /* how often a user looks what those before have told */
+enum {                                             /* of a burst of cancellations */
        LONG_TO_GO_MS = 3000,
        SHORTEST_HANG_MS = 1000, /* less: no machine hangs */
        HUNG_MOST = 8,
        BURST = 8 /* jobs, unless the fault says how many */
 };
+enum { CANCEL_AT_END_MS = 500 };
 
 int sim_team_limit(void) {
     if (world.load & SIM_LOAD_CROWDED) return SIM_MACHINE_GPUS * world.size->machines;
@@ -54,6 +56,7 @@
     strcpy(call->method, "POST");
     strcpy(call->path, "/v1/jobs");
     amb_codec_put_spec(&body, &job->spec);
+    sim_put_awaits(&body, job);
     if (spoilt) spoil_field(&body);
     call->body = body.data;
     call->len = body.len;
@@ -84,6 +87,10 @@
 
 static void user_acts(void *arg) {
     struct sim_job *job = arg;
+    if (!job->submitted && !sim_may_submit(job)) {
+        sim_user_comes(job, world.now + sim_between(WATCH_LEAST_MS, WATCH_MOST_MS));
+        return;
+    }
     /* A repeat may come at any time. */
     bool submit = job->submitted && !job->refused && (!job->accepted || sim_random() % 16 == 0);
     if (!job->submitted && world.now >= job->at) job->submitted = submit = true;
@@ -144,9 +151,15 @@
     if (sim_random() % 4 == 0) sim_errand(job, SIM_CANCEL, -1, sim_between(0, 20));
 }
 
+void sim_user_comes(struct sim_job *job, amb_ms at) {
+    amb_timer_set(&job->timer, at, user_acts, job);
+}
+
 void sim_job_ended(struct sim_job *job) {
+    if (job->cancel_at_end && !job->cancel_wanted && job->accepted)
+        sim_errand(job, SIM_CANCEL, -1, sim_between(0, CANCEL_AT_END_MS));
     if (!job->cancel_wanted && job->accepted && sim_fault_strikes(SIM_CANCEL_AT_END))
-        sim_errand(job, SIM_CANCEL, -1, sim_between(0, 500));
+        sim_errand(job, SIM_CANCEL, -1, sim_between(0, CANCEL_AT_END_MS));
     if (job->accepted) sim_look_closely(job);
 }
 
@@ -202,9 +215,7 @@
     return job->done_told;
 }
 
-static void draw_spec(struct amb_spec *spec);
-
-static struct sim_job *job_new(void) {
+struct sim_job *sim_job_new(void) {
     if (world.job_count == SIM_JOBS) abort();
     struct sim_job *job = &world.jobs[world.job_count];
     memset(job, 0, sizeof *job);
@@ -214,10 +225,12 @@
 
 static void odd_job(void) {
     if (world.job_count == SIM_JOBS) return;
-    struct sim_job *job = job_new();
+    struct sim_job *job = sim_job_new();
     struct amb_spec *spec = &job->spec;
-    draw_spec(spec);
-    job->oddity = (enum sim_oddity)sim_between(SIM_TOO_LARGE, SIM_LACKS_FIELD);
+    sim_draw_spec(spec);
+    bool of_pipelines = world.load & SIM_LOAD_PIPELINES;
+    job->oddity =
+        (enum sim_oddity)sim_between(SIM_TOO_LARGE, of_pipelines ? SIM_ODDITIES - 1 : SIM_LACKS_FIELD);
     if (job->oddity == SIM_TOO_LARGE) spec->each.gpus = 2 * SIM_MACHINE_GPUS;
     if (job->oddity == SIM_UNKNOWN_TEAM) strcpy(spec->team, "team-none");
     if (job->oddity == SIM_OVER_LIMIT) {
@@ -248,7 +261,7 @@
 
 /* ---- the day's jobs ---- */
 
-static void draw_spec(struct amb_spec *spec) {
+void sim_draw_spec(struct amb_spec *spec) {
     strcpy(spec->class_name, "train");
     snprintf(spec->team, sizeof spec->team, "team-%d", (int)(sim_random() % 2));
     snprintf(spec->image, sizeof spec->image, "img-%d", (int)(sim_random() % (uint64_t)world.size->images));
@@ -272,8 +285,8 @@
 }
 
 static void draw_job(amb_ms length) {
-    struct sim_job *job = job_new();
-    draw_spec(&job->spec);
+    struct sim_job *job = sim_job_new();
+    sim_draw_spec(&job->spec);
     if (world.load & SIM_LOAD_ZONE_BOUND) bind_to_zone(&job->spec);
     job->at = world.now + sim_between(2000, length / 2);
     if (job->spec.kind == AMB_SERVICE || sim_random() % 5 == 0)
@@ -283,8 +296,8 @@
 }
 
 static struct sim_job *array_new(amb_ms at, uint32_t tasks, double seconds) {
-    struct sim_job *job = job_new();
-    draw_spec(&job->spec);
+    struct sim_job *job = sim_job_new();
+    sim_draw_spec(&job->spec);
     job->spec.kind = AMB_ARRAY;
     job->spec.one_zone = job->spec.spread = false;
     job->spec.spot = true;
@@ -326,4 +339,5 @@
     if (world.load & SIM_LOAD_STREAM) draw_stream(length);
     if (world.load & SIM_LOAD_UNEVEN) draw_uneven(length);
     if (world.load & SIM_LOAD_CROWDED) draw_crowd(length);
+    if (world.load & SIM_LOAD_PIPELINES) sim_draw_pipelines(length);
 }
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -20,6 +20,7 @@
        SIM_KEY_SIZE = 200,
        SIM_KEPT = 256,
        SIM_ERRANDS = 8192,
+       SIM_AWAITS = 8, /* of a job; names that come twice count twice */
 };
 
 enum { /* of the deployment, beside struct sim_size */
@@ -29,7 +30,10 @@
        SIM_GANG_WAIT_MS = 20000,
        SIM_MACHINE_GPUS = 8,
        SIM_TICK_MS = 50,
+       SIM_VALUE_BYTES = 8192,
        SIM_TXN_OPS = 8,
+       SIM_NEXT_VALUE_BYTES = 1024, /* once the state service has lowered its limits */
+       SIM_NEXT_TXN_OPS = 4,
        SIM_TEAMS = 2,
 };
 
@@ -106,6 +110,15 @@
                   SIM_UNKNOWN_TEAM,
                   SIM_OVER_LIMIT, /* all tasks of a gang exceed its team's limit */
                   SIM_LACKS_FIELD,
+                  SIM_AWAITS_UNKNOWN,   /* a job that was never accepted */
+                  SIM_AWAITS_MALFORMED, /* awaits is no list of job names */
+                  SIM_ODDITIES,
+};
+
+/* When the user of a job that awaits others submits it. */
+enum sim_moment {
+    SIM_WHEN_ACCEPTED, /* as soon as those that it awaits are accepted */
+    SIM_WHEN_OVER,     /* when they are done or cancelled */
 };
 
 struct sim_job {
@@ -117,6 +130,12 @@
     amb_ms waits_from; /* its tasks could have been placed ever since, and were not */
     uint64_t was_placed;
     bool uneven, brief;
+    int pipeline;           /* 0: none */
+    int awaits[SIM_AWAITS]; /* places in world.jobs */
+    int await_count;
+    bool awaits_earlier; /* some job of before too, chosen when it is submitted */
+    enum sim_moment moment;
+    bool cancel_at_end; /* its user cancels it at the moment of its end */
     bool done[SIM_JOB_TASKS];
     struct amb_timer timer;
 };
@@ -145,6 +164,8 @@
     int key_count, lease_count, change_count;
     int refused_nodes; /* at the last tick */
     uint64_t revision, lease_serial;
+    double change_tokens; /* changes that it takes now */
+    amb_ms change_tokens_at;
 };
 
 struct sim_rental { /* a rental request that was granted */
@@ -246,6 +267,21 @@
 void sim_job_ended(struct sim_job *job);    /* its last task has completed */
 void sim_cancel_burst(int count, amb_ms hang);
 void sim_begin_odd_requests(void);
+struct sim_job *sim_job_new(void);
+void sim_draw_spec(struct amb_spec *spec);
+void sim_user_comes(struct sim_job *job, amb_ms at);
+
+/* pipelines.c */
+void sim_draw_pipelines(amb_ms length);
+bool sim_may_submit(struct sim_job *job); /* are the jobs that it awaits as far as its user wants them? */
+void sim_put_awaits(struct amb_buf *body, const struct sim_job *job); /* into the body of its submission */
+void sim_look_at_pipeline(const struct sim_job *job); /* its users ask about all its jobs at all nodes */
+bool sim_needs_done(const struct sim_job *job);       /* are all jobs that it awaits done? */
+bool sim_is_before(const struct sim_job *job, const struct sim_job *other); /* does other need it? */
+/* The job itself, or one before it whose cancellation was asked for and not answered with `done`. */
+bool sim_cancel_wanted(const struct sim_job *job);
+/* When a user was first told that it, or a job before it, is cancelled; 0: never. */
+amb_ms sim_cancel_told_at(const struct sim_job *job);
 
 /* faults.c */
 bool sim_fault_active(enum sim_fault_kind kind, int which); /* which < 0: any */
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -41,6 +41,7 @@
     "odd requests",
     "slow links",
     "cloud outage",
+    "lowered limits",
 };
 _Static_assert(ROWS(names) == SIM_FAULTS, "a name for each kind of fault");
 
@@ -105,7 +106,7 @@
 
 static void troubles_of_users(void **state) {
     (void)state;
-    single_troubles(SIM_CANCEL_NOW, SIM_FAULTS);
+    single_troubles(SIM_CANCEL_NOW, SIM_LOWER_LIMITS); /* that lasts: tests/test_upgrade.c */
 }
 
 static void unfit_jobs_are_refused(void **state) {
