--- a/tests/standin/day.c
+++ b/tests/standin/day.c
@@ -12,6 +12,8 @@
                       sim_slow = {3, 12, 16, 12, 3, 12000, 60000, 120000, 200, 20, 3};
 
 struct sim_world world;
+void (*sim_watch_transaction)(const struct sim_call *call, const cbor_item_t *transaction);
+void (*sim_watch_message)(const struct sim_call *call);
 
 static void free_memory(void) {
     for (int i = 0; i < world.machine_count; i++) free(world.machines[i].tasks);
@@ -54,6 +56,7 @@
         if (watched && sim_leader_began()) sim_deliver_kept_reports();
     world.now = end;
     sim_begin_faults();
+    sim_note_upgrade();
     sim_state_tick();
     for (int i = 0; i < world.machine_count; i++) sim_machine_advance(i);
     advance_gangs();
@@ -64,7 +67,7 @@
     reset(plan->size, plan->seed);
     world.load = plan->load;
     take_faults(plan->faults, plan->fault_count);
-    for (int i = 0; i < world.size->nodes; i++) sim_node_start(&world.nodes[i]);
+    sim_start_nodes();
     for (int i = 0; i < FIRST_MACHINES; i++) sim_machine_new(i, false, FIRST_BOOT_MS);
     sim_draw_jobs(plan->length);
     for (amb_ms at = START_MS; at < START_MS + plan->length && !world.result.broken[0]; at += SIM_TICK_MS)
--- a/tests/standin/explore.c
+++ b/tests/standin/explore.c
@@ -32,7 +32,7 @@
     "SIM_BAD_MACHINE", "SIM_NO_CAPACITY",  "SIM_ZONES_APART",     "SIM_MUTE",          "SIM_LATE_WRITES",
     "SIM_LOST_WRITES", "SIM_LATE_REPORTS", "SIM_KEPT_REPORTS",    "SIM_LATE_COMMANDS", "SIM_QUICK_BOOTS",
     "SIM_SLOW_STATE",  "SIM_CANCEL_NOW",   "SIM_CANCEL_AT_END",   "SIM_CLOSE_LOOKS",   "SIM_ODD_REQUESTS",
-    "SIM_SLOW_LINKS",  "SIM_CLOUD_OUTAGE", "SIM_LOWER_LIMITS",
+    "SIM_SLOW_LINKS",  "SIM_CLOUD_OUTAGE", "SIM_LOWER_LIMITS",    "SIM_UPGRADE",
 };
 _Static_assert(sizeof kinds / sizeof *kinds == SIM_FAULTS, "a name for each kind of fault");
 
@@ -166,7 +166,7 @@
     while (smaller) {
         smaller = false;
         for (size_t i = day->plan.fault_count; i-- > 0;) smaller |= try_without_fault(day, i);
-        for (unsigned load = 1; load <= SIM_LOAD_PIPELINES; load <<= 1)
+        for (unsigned load = 1; load <= SIM_LOAD_ALL_FIELDS; load <<= 1)
             smaller |= try_without_load(day, load);
     }
     for (size_t i = 0; i < day->plan.fault_count; i++)
@@ -177,7 +177,8 @@
 
 static void print_load(unsigned load) {
     static const char *const names[] = {"SIM_LOAD_ZONE_BOUND", "SIM_LOAD_TIGHT_TEAMS", "SIM_LOAD_STREAM",
-                                        "SIM_LOAD_UNEVEN",     "SIM_LOAD_CROWDED",     "SIM_LOAD_PIPELINES"};
+                                        "SIM_LOAD_UNEVEN",     "SIM_LOAD_CROWDED",     "SIM_LOAD_PIPELINES",
+                                        "SIM_LOAD_ALL_FIELDS"};
     if (!load) printf("0");
     const char *separator = "";
     for (size_t i = 0; i < sizeof names / sizeof *names; i++)
--- a/tests/standin/faults.c
+++ b/tests/standin/faults.c
@@ -2,7 +2,6 @@
 #include "world.h"
 
 enum {
-    RESTART_MS = 6000, /* of a node that was killed */
     USUAL_PERCENT = 25,
     AFTERMATH_MS = 25000, /* late copies are there, nodes are back */
 };
@@ -104,11 +103,12 @@
     if (fault->which < 0 && of_machine(fault->kind)) fault->which = busiest_machine();
     if (fault->which < 0 && of_node(fault->kind)) fault->which = sim_leader();
     switch (fault->kind) {
-    case SIM_KILL: sim_node_kill(fault->which, RESTART_MS); break;
+    case SIM_KILL: sim_node_kill(fault->which, SIM_RESTART_MS); break;
     case SIM_KILL_BRIEF: sim_node_kill(fault->which, sim_between(50, 400)); break;
     case SIM_HANG: world.machines[fault->which].hang_until = world.now + fault->lasts; break;
     case SIM_DIE: machine_dies(&world.machines[fault->which]); break;
     case SIM_CANCEL_NOW: sim_cancel_burst(fault->which, fault->lasts); break;
+    case SIM_UPGRADE: sim_begin_upgrade(fault); break;
     case SIM_ODD_REQUESTS: sim_begin_odd_requests(); break;
     default: break; /* looked up while it lasts */
     }
@@ -120,6 +120,7 @@
     for (size_t i = 0; i < world.fault_count; i++) {
         amb_ms end = world.faults[i].at + world.faults[i].lasts + AFTERMATH_MS;
         if (world.faults[i].kind == SIM_LATE_REPORTS) end += world.size->lease * 3 / 2;
+        if (world.faults[i].kind == SIM_UPGRADE) end += world.faults[i].lasts * world.size->nodes;
         if (end > over) over = end;
     }
     return over;
--- a/tests/standin/network.c
+++ b/tests/standin/network.c
@@ -78,6 +78,7 @@
     bool lost = answer_is_lost(call) || call->unanswered;
     bool heard = sim_passes(call) && !call->given_up && asker_lives(call) && machine_hears(call) && !lost;
     if (heard) {
+        if (call->to == SIM_AT_PEER && sim_watch_message) sim_watch_message(call);
         amb_timer_stop(&call->deadline);
         tell_asker(call);
         call_free(call);
@@ -118,20 +119,19 @@
 
 static void serve_node(struct sim_call *call) {
     struct sim_node *node = &world.nodes[call->node];
-    bool front = call->to == SIM_AT_FRONT;
-    amb_http_handler handler = front ? node->front : node->side;
-    if (!node->alive || !handler) {
+    const struct sim_server *server = call->to == SIM_AT_FRONT ? &node->front : &node->back;
+    if (!node->alive || !server->handler) {
         if (call->user_fn || call->fn) sim_call_answer(call, 0, NULL); /* refused */
         return;
     }
-    if (call->len > (front ? node->front_most : node->side_most)) {
+    if (call->len > server->body_most) {
         sim_broken("a request of a node, worker or user is too large for %s", call->path);
         sim_call_answer(call, 413, NULL);
         return;
     }
     int keep = world.current;
     world.current = call->node;
-    handler(front ? node->front_arg : node->side_arg, request_of(call));
+    server->handler(server->arg, request_of(call));
     world.current = keep;
 }
 
@@ -244,15 +244,8 @@
 struct amb_server *amb_server_open(const char *addr, int max, size_t body_max, amb_ms idle,
                                    amb_http_handler fn, void *arg) {
     (void)max, (void)idle;
-    struct sim_node *s = &world.nodes[world.current];
-    if (addr[0] == 'F') {
-        s->front = fn;
-        s->front_most = body_max;
-        s->front_arg = arg;
-    } else {
-        s->side = fn;
-        s->side_most = body_max;
-        s->side_arg = arg;
-    }
-    return (struct amb_server *)s;
+    struct sim_node *node = &world.nodes[world.current];
+    struct sim_server *server = addr[0] == 'F' ? &node->front : &node->back;
+    *server = (struct sim_server){fn, arg, body_max};
+    return (struct amb_server *)server;
 }
--- /dev/null
+++ b/tests/standin/node_side.c
@@ -0,0 +1,85 @@
+/* Starts a controller of the library's version that this file is compiled against: the present one, or with
+ * AMB_PRODUCTION_SIDE the production version (tests/standin/CMakeLists.txt). */
+#include "node_side.h"
+
+#include "amberpin/log.h"
+#include "amberpin/node.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#ifdef AMB_PRODUCTION_SIDE
+#define SIM_SIDE sim_production_side
+#else
+#define SIM_SIDE sim_present_side
+#endif
+
+static void set_names(struct amb_settings *set, const struct sim_node_settings *from) {
+    snprintf(set->member, sizeof set->member, "n%d", from->index);
+    snprintf(set->zone, sizeof set->zone, "%s", from->zones[from->index] ? "b" : "a");
+    snprintf(set->front, sizeof set->front, "F%d:1", from->index);
+    snprintf(set->peer_listen, sizeof set->peer_listen, "P%d:1", from->index);
+    strcpy(set->state, "S:1");
+    strcpy(set->cloud, "C:1");
+    for (int k = 0; k < from->nodes; k++) {
+        if (k == from->index) continue;
+        snprintf(set->peers[set->npeers].member, AMB_NAME, "n%d", k);
+        snprintf(set->peers[set->npeers++].addr, AMB_NAME, "P%d:1", k);
+    }
+    set->nzones = 2;
+    strcpy(set->zones[0], "a");
+    strcpy(set->zones[1], "b");
+}
+
+static void set_teams(struct amb_settings *set, const struct sim_node_settings *from) {
+    int guarantee = from->team_limit / 3;
+    set->nteams = (uint32_t)from->teams;
+    for (uint32_t t = 0; t < set->nteams; t++) {
+        snprintf(set->teams[t].name, AMB_NAME, "team-%u", t);
+        set->teams[t].guarantee.gpus = guarantee;
+        set->teams[t].limit.gpus = from->team_limit;
+    }
+}
+
+static void set_limits(struct amb_settings *set, const struct sim_node_settings *from) {
+    set->report_s = from->report_s;
+    set->lease_s = from->lease_s;
+    set->cancel_s = from->cancel_s;
+    set->gang_wait_s = from->gang_wait_s;
+    set->gang_peer_s = 5;
+    set->state_rps = from->state_rps;
+    set->state_write_rps = from->write_rps;
+    set->value_kb = from->value_kb;
+    set->txn_ops = from->txn_ops;
+#ifndef AMB_PRODUCTION_SIDE /* which ignores what it does not know */
+    set->state_next = (struct amb_state_limits){
+        .write_rps = from->next_write_rps, .value_kb = from->next_value_kb, .txn_ops = from->next_txn_ops};
+#endif
+    set->cloud_rps = from->cloud_rps;
+    set->list_lag_s = from->list_lag_s;
+    set->cores = 0.1;
+    set->memory_mb = 40;
+    set->fd_limit = 500;
+}
+
+static void *start(const struct sim_node_settings *settings) {
+    struct amb_node *node = amb_alloc(sizeof *node);
+    char error[128];
+    amb_log_init(getenv("LOG_LEVEL") ? getenv("LOG_LEVEL") : "error");
+    amb_options_default(&node->opt);
+    set_names(&node->set, settings);
+    set_teams(&node->set, settings);
+    set_limits(&node->set, settings);
+    if (amb_node_start(node, error, sizeof error) < 0) abort();
+    return node;
+}
+
+static bool leads(const void *node) {
+    return amb_leads(node);
+}
+
+const struct sim_node_side *SIM_SIDE(void) {
+    static const struct sim_node_side side = {start, leads};
+    return &side;
+}
--- a/tests/standin/nodes.c
+++ b/tests/standin/nodes.c
@@ -1,68 +1,48 @@
-/* Controller nodes: real ones of the library, started with settings for the stand-in. */
+/* Controller nodes: real ones, started with settings for the stand-in, of the present version or of the
+ * production version where a day says so. */
 #include "world.h"
 
+#include "node_side.h"
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-static void set_names(struct amb_settings *set, int node) {
-    snprintf(set->member, sizeof set->member, "n%d", node);
-    snprintf(set->zone, sizeof set->zone, "%s", sim_zone_of_node(node) ? "b" : "a");
-    snprintf(set->front, sizeof set->front, "F%d:1", node);
-    snprintf(set->peer_listen, sizeof set->peer_listen, "P%d:1", node);
-    strcpy(set->state, "S:1");
-    strcpy(set->cloud, "C:1");
-    for (int k = 0; k < world.size->nodes; k++) {
-        if (k == node) continue;
-        snprintf(set->peers[set->npeers].member, AMB_NAME, "n%d", k);
-        snprintf(set->peers[set->npeers++].addr, AMB_NAME, "P%d:1", k);
-    }
-    set->nzones = 2;
-    strcpy(set->zones[0], "a");
-    strcpy(set->zones[1], "b");
-}
-
-static void set_teams(struct amb_settings *set) {
-    int guarantee = sim_team_limit() / 3;
-    set->nteams = SIM_TEAMS;
-    for (uint32_t t = 0; t < set->nteams; t++) {
-        snprintf(set->teams[t].name, AMB_NAME, "team-%u", t);
-        set->teams[t].guarantee.gpus = guarantee;
-        set->teams[t].limit.gpus = sim_team_limit();
-    }
-}
-
-static void set_limits(struct amb_settings *set) {
-    set->report_s = (double)world.size->report / 1000;
-    set->lease_s = (double)world.size->lease / 1000;
-    set->cancel_s = (double)world.size->cancel / 1000;
-    set->gang_wait_s = SIM_GANG_WAIT_MS / 1000.0;
-    set->gang_peer_s = 5;
-    set->state_rps = world.size->rps;
-    set->state_write_rps = world.size->writes;
-    set->value_kb = 8;
-    set->txn_ops = SIM_TXN_OPS;
-    set->cloud_rps = world.size->cloud;
-    set->list_lag_s = SIM_LIST_LAG_MS / 1000.0;
-    set->cores = 0.1;
-    set->memory_mb = 40;
-    set->fd_limit = 500;
+static void fill_settings(struct sim_node_settings *settings, int index, int zones[SIM_NODES]) {
+    const struct sim_size *size = world.size;
+    for (int i = 0; i < size->nodes; i++) zones[i] = sim_zone_of_node(i);
+    *settings = (struct sim_node_settings){
+        .index = index,
+        .nodes = size->nodes,
+        .zones = zones,
+        .teams = SIM_TEAMS,
+        .team_limit = sim_team_limit(),
+        .report_s = (double)size->report / 1000,
+        .lease_s = (double)size->lease / 1000,
+        .cancel_s = (double)size->cancel / 1000,
+        .gang_wait_s = SIM_GANG_WAIT_MS / 1000.0,
+        .list_lag_s = SIM_LIST_LAG_MS / 1000.0,
+        .state_rps = size->rps,
+        .cloud_rps = size->cloud,
+        .write_rps = size->writes,
+        .value_kb = SIM_VALUE_BYTES / 1024.0,
+        .txn_ops = SIM_TXN_OPS,
+        .next_write_rps = size->writes * sim_next_writes_share,
+        .next_value_kb = SIM_NEXT_VALUE_BYTES / 1024.0,
+        .next_txn_ops = SIM_NEXT_TXN_OPS,
+    };
 }
 
 void sim_node_start(void *arg) {
     struct sim_node *node = arg;
-    int index = (int)(node - world.nodes);
-    char error[128];
-    node->node = amb_alloc(sizeof *node->node);
-    amb_options_default(&node->node->opt);
-    set_names(&node->node->set, index);
-    set_teams(&node->node->set);
-    set_limits(&node->node->set);
+    struct sim_node_settings settings;
+    int zones[SIM_NODES], keep = world.current;
+    fill_settings(&settings, (int)(node - world.nodes), zones);
+    node->side = node->old ? sim_production_side() : sim_present_side();
     node->alive = true;
     node->incarnation++;
-    int keep = world.current;
-    world.current = index;
-    if (amb_node_start(node->node, error, sizeof error) < 0) abort();
+    world.current = settings.index;
+    node->node = node->side->start(&settings);
     world.current = keep;
 }
 
@@ -70,14 +50,61 @@
     struct sim_node *node = &world.nodes[index];
     if (!node->alive) return;
     node->alive = false;
-    node->front = node->side = NULL;
+    node->front.handler = node->back.handler = NULL;
     sim_stop_timers(index);
     amb_timer_in(&node->restart, back, sim_node_start, node);
 }
 
+/* ---- an upgrade while the service runs ---- */
+
+struct upgrade {
+    amb_ms every;
+    int together;
+};
+
+static struct upgrade upgrade;
+
+static void upgrade_next(void *arg) {
+    int ended = 0;
+    (void)arg;
+    for (int i = 0; i < world.size->nodes && ended < upgrade.together; i++) {
+        if (!world.nodes[i].old) continue;
+        world.nodes[i].old = false;
+        sim_node_kill(i, SIM_RESTART_MS);
+        ended++;
+    }
+    if (ended) amb_timer_in(&world.upgrade_timer, upgrade.every, upgrade_next, NULL);
+}
+
+void sim_begin_upgrade(const struct sim_fault *fault) {
+    upgrade = (struct upgrade){fault->lasts, fault->which < 1 ? 1 : fault->which};
+    upgrade_next(NULL);
+}
+
+void sim_start_nodes(void) {
+    world.upgraded = !sim_fault_planned(SIM_UPGRADE);
+    if (!world.upgraded && !sim_production_at_hand()) abort();
+    for (int i = 0; i < world.size->nodes; i++) {
+        world.nodes[i].old = !world.upgraded;
+        sim_node_start(&world.nodes[i]);
+    }
+}
+
+void sim_note_upgrade(void) {
+    if (world.upgraded) return;
+    for (int i = 0; i < world.size->nodes; i++)
+        if (world.nodes[i].old || !world.nodes[i].alive) return;
+    world.upgraded = true;
+    world.result.upgraded_at = world.now;
+}
+
+static bool leads(const struct sim_node *node) {
+    return node->alive && node->side->leads(node->node);
+}
+
 int sim_leader(void) {
     for (int i = 0; i < world.size->nodes; i++)
-        if (world.nodes[i].alive && amb_leads(world.nodes[i].node)) return i;
+        if (leads(&world.nodes[i])) return i;
     return 0;
 }
 
@@ -85,9 +112,12 @@
     bool began = false;
     for (int i = 0; i < world.size->nodes; i++) {
         struct sim_node *node = &world.nodes[i];
-        bool leads = node->alive && amb_leads(node->node);
-        began |= leads && !node->led;
-        node->led = leads;
+        began |= leads(node) && !node->led;
+        node->led = leads(node);
     }
     return began;
 }
+
+bool sim_production_at_hand(void) {
+    return sim_production_side() != NULL;
+}
--- a/tests/standin/pipelines.c
+++ b/tests/standin/pipelines.c
@@ -99,7 +99,10 @@
     return job->done_told || job->cancel_told;
 }
 
+/* Nothing new is asked of the service before all nodes have the new version. */
 bool sim_may_submit(struct sim_job *job) {
+    bool is_new = job->pipeline || job->oddity >= SIM_AWAITS_UNKNOWN;
+    if (is_new && !world.upgraded) return false;
     for (int i = 0; i < job->await_count; i++) {
         const struct sim_job *before = &world.jobs[job->awaits[i]];
         if (!before->accepted || (job->moment == SIM_WHEN_OVER && !is_over(before))) return false;
@@ -232,12 +235,12 @@
 }
 
 void sim_draw_pipelines(amb_ms length) {
-    amb_ms first = world.now + BEGIN_MS, last = world.now + length / 2;
+    amb_ms begin = world.now + BEGIN_MS, end = world.now + length / 2;
     int count = world.size->jobs / 2;
     if (count > 100) count = 100;
-    for (int number = 1; number <= count; number++) draw_pipeline(number, sim_between(first, last));
-    for (int i = 0; i < BIG_JOBS; i++) draw_big_job(sim_between(first, last));
-    for (int i = 0; i < UNKNOWN_JOBS; i++) draw_unfit_job(sim_between(first, last));
+    for (int number = 1; number <= count; number++) draw_pipeline(number, sim_between(begin, end));
+    for (int i = 0; i < BIG_JOBS; i++) draw_big_job(sim_between(begin, end));
+    for (int i = 0; i < UNKNOWN_JOBS; i++) draw_unfit_job(sim_between(begin, end));
 }
 
 /* ---- questions ---- */
--- /dev/null
+++ b/tests/standin/record.c
@@ -0,0 +1,54 @@
+/* Writes what the production version writes and says, as tests/data/production/README.md describes:
+ *
+ *     record DIRECTORY
+ *
+ * Days on which all nodes are of the production version, with troubles that make it write all its kinds of
+ * records. */
+#include "recorder.h"
+#include "standin.h"
+
+#include <stdio.h>
+
+enum { LENGTH_MS = 160000, NEVER_MS = 10000000, SEEDS = 2, PATH_MOST = 4096 };
+
+static const struct sim_size size = {3, 12, 14, 12, 3, 1000, 10000, 30000, 200, 20, 3};
+
+/* The first keeps the nodes at the production version. */
+static const struct sim_fault faults[] = {
+    {SIM_UPGRADE, NEVER_MS, 1000, -1},
+    {SIM_KILL, 40000, 1, -1},
+    {SIM_ZONES_APART, 55000, 25000, -1},
+    {SIM_HANG, 50000, 15000, -1},
+};
+
+static void write_samples(const char *directory, enum sim_sample_kind kind) {
+    char path[PATH_MOST];
+    snprintf(path, sizeof path, "%s/%s.json", directory, sim_sample_names[kind]);
+    const json_t *list = sim_samples(kind);
+    printf("%s: %zu samples\n", sim_sample_names[kind], json_array_size(list));
+    if (json_dump_file(list, path, JSON_INDENT(1) | JSON_SORT_KEYS))
+        fprintf(stderr, "%s: not written\n", path);
+}
+
+int main(int argc, char **argv) {
+    if (argc != 2 || !sim_production_at_hand()) {
+        fprintf(stderr, "usage: record DIRECTORY, with the production version in the history\n");
+        return 2;
+    }
+    sim_record(true);
+    for (uint64_t seed = 1; seed <= SEEDS; seed++) {
+        struct sim_result result = sim_play(&(struct sim_plan){
+            .size = &size,
+            .seed = seed,
+            .length = LENGTH_MS,
+            .load = SIM_LOAD_ALL_FIELDS | SIM_LOAD_ZONE_BOUND | SIM_LOAD_CROWDED,
+            .faults = faults,
+            .fault_count = sizeof faults / sizeof *faults,
+        });
+        printf("seed %llu: %u accepted, %u done, %u cancelled %s\n", (unsigned long long)seed,
+               result.accepted, result.done, result.cancelled, result.broken);
+        if (result.broken[0]) return 1;
+    }
+    for (int kind = 0; kind < SIM_OTHER_RECORDS; kind++) write_samples(argv[1], (enum sim_sample_kind)kind);
+    return 0;
+}
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -52,7 +52,10 @@
     SIM_ODD_REQUESTS,    /* submissions repeated, spoilt or unfit, cancellations of jobs that are done */
     SIM_SLOW_LINKS,      /* every message takes up to 0.3 s */
     SIM_CLOUD_OUTAGE,    /* the cloud refuses every call */
-    SIM_LOWER_LIMITS,    /* the state service lowers its limits, from then on for good */
+    SIM_LOWER_LIMITS,    /* the state service lowers its limits, from then on for good; after an upgrade */
+    SIM_UPGRADE,         /* the day begins with nodes of the production version; `which` at a time (-1: one),
+                            every `lasts`, they end and come back with the present one. A node that ends
+                            before its turn comes back as it was */
     SIM_FAULTS,
 };
 
@@ -71,7 +74,8 @@
     SIM_LOAD_STREAM = 4,   /* jobs of one short task, four a second, a quarter of them cancelled */
     SIM_LOAD_UNEVEN = 8,   /* jobs of two or three tasks that end far apart */
     SIM_LOAD_CROWDED = 16, /* more work than room, urgent and not, and limits that don't bind */
-    SIM_LOAD_PIPELINES = 32, /* jobs that await others, some cancelled on the way; jobs of many tasks */
+    SIM_LOAD_ALL_FIELDS = 64, /* jobs that use every field that a submission may have */
+    SIM_LOAD_PIPELINES = 32,  /* jobs that await others, some cancelled on the way; jobs of many tasks */
 };
 
 /* A day: everything in it follows from these. */
@@ -99,10 +103,12 @@
     uint32_t unknown_refused;      /* submissions that await a job that was never accepted */
     uint32_t size_refusals;        /* transactions beyond the limits of the state service's lowered sizes */
     uint32_t rate_refusals;        /* changes beyond its rate */
+    amb_ms upgraded_at;            /* when all nodes were of the present version; of the day */
     char broken[256];              /* the first rule broken; empty: none */
 };
 
 struct sim_result sim_play(const struct sim_plan *plan);
+bool sim_production_at_hand(void); /* can a day with SIM_UPGRADE be played? */
 
 /* Plays an ordinary day of `length` with jobs and small luck drawn from the seed. */
 struct sim_result sim_day(const struct sim_size *size, uint64_t seed, amb_ms length,
--- a/tests/standin/state_service.c
+++ b/tests/standin/state_service.c
@@ -5,8 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const double NEXT_WRITES_SHARE = 0.6; /* of the rate of changes, once limits are lowered */
-
 static int key_find(const char *key) {
     for (int i = 0; i < world.state.key_count; i++)
         if (!strcmp(world.state.keys[i].key, key)) return i;
@@ -210,6 +208,7 @@
 }
 
 static bool limits_lowered(void) {
+    if (!world.upgraded) return false;
     for (size_t i = 0; i < world.fault_count; i++)
         if (world.faults[i].kind == SIM_LOWER_LIMITS && world.now >= world.faults[i].at) return true;
     return false;
@@ -247,7 +246,7 @@
 static bool too_many(const cbor_item_t *operations) {
     double count = (double)amb_cbor_len(operations);
     if (!sim_fault_planned(SIM_LOWER_LIMITS)) return false;
-    refill_changes(world.size->writes * (limits_lowered() ? NEXT_WRITES_SHARE : 1));
+    refill_changes(world.size->writes * (limits_lowered() ? sim_next_writes_share : 1));
     if (world.state.change_tokens < count) {
         world.result.rate_refusals++;
         return true;
@@ -326,6 +325,7 @@
         conflict_answer(call, failed, &names);
     } else {
         apply(operations);
+        if (sim_watch_transaction) sim_watch_transaction(call, body);
         number_answer(call, 200, "epoch", world.state.revision);
         wake_followers();
     }
--- a/tests/standin/users.c
+++ b/tests/standin/users.c
@@ -284,9 +284,21 @@
         spec->one_zone = true;
 }
 
+static void draw_other_fields(struct amb_spec *spec) {
+    spec->deadline_s = sim_random() % 2 ? (double)sim_between(60, 600) + 0.5 : 0;
+    spec->checkpoint_s = spec->kind == AMB_SERVICE ? 0 : (double)sim_between(0, 3) * 10;
+    spec->save_s = spec->checkpoint_s > 0 ? 2.5 : 0;
+    if (sim_random() % 2) {
+        strcpy(spec->types[0], "g8");
+        strcpy(spec->types[1], "g16");
+        spec->ntypes = 2;
+    }
+}
+
 static void draw_job(amb_ms length) {
     struct sim_job *job = sim_job_new();
     sim_draw_spec(&job->spec);
+    if (world.load & SIM_LOAD_ALL_FIELDS) draw_other_fields(&job->spec);
     if (world.load & SIM_LOAD_ZONE_BOUND) bind_to_zone(&job->spec);
     job->at = world.now + sim_between(2000, length / 2);
     if (job->spec.kind == AMB_SERVICE || sim_random() % 5 == 0)
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -30,13 +30,16 @@
        SIM_GANG_WAIT_MS = 20000,
        SIM_MACHINE_GPUS = 8,
        SIM_TICK_MS = 50,
-       SIM_VALUE_BYTES = 8192,
+       SIM_RESTART_MS = 6000,  /* of a node that was killed */
+       SIM_VALUE_BYTES = 2048, /* jobs of more than 40 tasks take several blocks */
        SIM_TXN_OPS = 8,
        SIM_NEXT_VALUE_BYTES = 1024, /* once the state service has lowered its limits */
        SIM_NEXT_TXN_OPS = 4,
        SIM_TEAMS = 2,
 };
 
+static const double sim_next_writes_share = 0.6; /* of the rate of changes, once limits are lowered */
+
 struct sim_timer {
     struct amb_timer *timer;
     int owner; /* node, or -1 */
@@ -70,14 +73,20 @@
     enum sim_known known_before; /* of the user's job, when the request was sent */
 };
 
+struct sim_server { /* that a node has opened */
+    amb_http_handler handler;
+    void *arg;
+    size_t body_most; /* of a request */
+};
+
 struct sim_node {
-    struct amb_node *node;
+    const struct sim_node_side *side; /* its version */
+    void *node;
     bool alive;
+    bool old; /* it is of the production version, also when it comes back */
     uint64_t incarnation;
-    amb_http_handler front, side;
-    size_t front_most, side_most; /* of a request's body */
-    void *front_arg, *side_arg;
-    bool led; /* when last looked at */
+    struct sim_server front, back; /* for users and workers; for the other nodes */
+    bool led;                      /* when last looked at */
     struct amb_timer restart;
 };
 
@@ -212,6 +221,8 @@
     bool fault_begun[SIM_FAULT_LIST];
     size_t fault_count;
     amb_ms troubles_over; /* all faults and what they left under way */
+    struct amb_timer upgrade_timer;
+    bool upgraded; /* all nodes have been of the present version at some moment */
 
     struct sim_node nodes[SIM_NODES];
     struct sim_state_service state;
@@ -228,6 +239,11 @@
 };
 extern struct sim_world world;
 
+/* Called for every transaction that the state service carries out, and for every message between nodes that
+ * is answered; NULL: nobody watches. Outlives a day. */
+extern void (*sim_watch_transaction)(const struct sim_call *call, const cbor_item_t *transaction);
+extern void (*sim_watch_message)(const struct sim_call *call);
+
 /* clock.c */
 uint64_t sim_random(void);
 amb_ms sim_between(amb_ms least, amb_ms most);
@@ -303,6 +319,9 @@
 void sim_check_end(void); /* of the day */
 
 /* nodes.c */
+void sim_start_nodes(void);
+void sim_begin_upgrade(const struct sim_fault *fault);
+void sim_note_upgrade(void); /* is it over? */
 void sim_node_start(void *arg);
 void sim_node_kill(int index, amb_ms back);
 int sim_leader(void);
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -42,6 +42,7 @@
     "slow links",
     "cloud outage",
     "lowered limits",
+    "upgrade",
 };
 _Static_assert(ROWS(names) == SIM_FAULTS, "a name for each kind of fault");
 
