--- a/include/amberpin/admission.h
+++ b/include/amberpin/admission.h
@@ -10,7 +10,7 @@
     AMB_CAN_RUN,
     AMB_NEVER_RUNS, /* unknown team, over its limit, no machine type and zone fits, or what it awaits never
                        ends */
-    AMB_UNDECIDED,  /* the machine types are not known yet */
+    AMB_UNDECIDED,  /* the machine types are not known yet, or nodes of an older version serve */
     AMB_MALFORMED,  /* no description of a job */
 };
 
--- a/tests/test_pipelines.c
+++ b/tests/test_pipelines.c
@@ -649,13 +649,16 @@
 static void long_lists(void **state) {
     (void)state;
     static const struct {
-        double value_kb;
-        uint32_t names; /* of 12 bytes each, with quotes and comma */
+        double value_kb, next_kb; /* the limit now, and as announced (0: not) */
+        uint32_t names;           /* of 12 bytes each, with quotes and comma */
         int status;
-    } rows[] = {{2, 85, 201}, {2, 86, 422}, {8, 341, 201}, {8, 342, 422}, {8, 4000, 422}};
+    } rows[] = {{2, 0, 85, 201}, {2, 0, 86, 422}, {8, 0, 341, 201}, {8, 0, 342, 422}, {8, 2, 85, 201},
+                {8, 2, 86, 422}, {2, 8, 85, 201}, {2, 8, 86, 422},  {8, 0, 4000, 422}};
     for (size_t i = 0; i < ROWS(rows); i++) {
         anew();
         node->set.value_kb = rows[i].value_kb;
+        node->set.state_next.value_kb = rows[i].next_kb;
+        double least_kb = amb_settings_lowered_limits(&node->set).value_kb;
         json_t *job = json_loads(describe('b', NULL, "batch"), 0, NULL), *list = json_array();
         for (uint32_t k = 0; k < rows[i].names; k++) {
             char name[AMB_NAME];
@@ -669,7 +672,7 @@
         }
         json_object_set_new(job, "awaits", list);
         char *text = json_dumps(job, JSON_COMPACT);
-        if (rows[i].status == 201) assert_true((double)strlen(text) + 100 < rows[i].value_kb * 1024);
+        if (rows[i].status == 201) assert_true((double)strlen(text) + 100 < least_kb * 1024);
         free(text);
         struct amb_buf body = {0};
         cbor_from_json(&body, job);
@@ -680,6 +683,32 @@
     }
 }
 
+/* Nodes of the version before would start a job at once if they led: none that awaits others is accepted
+ * while one is known to serve. */
+static void not_beside_an_old_node(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        enum amb_format last_word, written;
+        const char *script;
+    } rows[] = {
+        {"not heard of yet", AMB_FORMAT_UNKNOWN, AMB_FORMAT_UNKNOWN, "+a=201q +b:a=201q"},
+        {"old", AMB_FORMAT_1, AMB_FORMAT_UNKNOWN, "+a=201q +b:a=503 +b=201q"},
+        {"old, and the name unknown", AMB_FORMAT_1, AMB_FORMAT_UNKNOWN, "+b:a=503"},
+        {"old, and the job known", AMB_FORMAT_1, AMB_FORMAT_UNKNOWN, "@+a @+b:a ~ +b:a=200q"},
+        {"new", AMB_FORMAT_2, AMB_FORMAT_UNKNOWN, "+a=201q +b:a=201q"},
+        {"a late word of an old one", AMB_FORMAT_1, AMB_FORMAT_2, "+a=201q +b:a=201q"},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        anew();
+        node->peers.count = 1;
+        node->peers.list[0].node = node;
+        node->peers.list[0].format = rows[i].last_word;
+        node->formats.written = rows[i].written;
+        play(rows[i].what, rows[i].script);
+    }
+}
+
 /* A service is never done, so nothing can await it; what awaits a cancelled one is cancelled. */
 static void services_are_not_awaited(void **state) {
     (void)state;
@@ -934,6 +963,7 @@
         TEST(placed_by_a_leader_that_does_not_wait),
         TEST(awaits_as_users_write_them),
         TEST(long_lists),
+        TEST(not_beside_an_old_node),
         TEST(services_are_not_awaited),
         TEST(records_keep_the_names),
         TEST(unreadable_records_never_start),
