--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -20,6 +20,7 @@
        SIM_KEY_SIZE = 200,
        SIM_KEPT = 256,
        SIM_ERRANDS = 8192,
+       SIM_AWAITS = 8, /* of a job; names that come twice count twice */
 };
 
 enum { /* of the deployment, beside struct sim_size */
@@ -29,10 +30,16 @@
        SIM_GANG_WAIT_MS = 20000,
        SIM_MACHINE_GPUS = 8,
        SIM_TICK_MS = 50,
+       SIM_RESTART_MS = 6000,  /* of a node that was killed */
+       SIM_VALUE_BYTES = 2048, /* jobs of more than 40 tasks take several blocks */
        SIM_TXN_OPS = 8,
+       SIM_NEXT_VALUE_BYTES = 1024, /* once the state service has lowered its limits */
+       SIM_NEXT_TXN_OPS = 4,
        SIM_TEAMS = 2,
 };
 
+static const double sim_next_writes_share = 0.6; /* of the rate of changes, once limits are lowered */
+
 struct sim_timer {
     struct amb_timer *timer;
     int owner; /* node, or -1 */
@@ -66,14 +73,20 @@
     enum sim_known known_before; /* of the user's job, when the request was sent */
 };
 
+struct sim_server { /* that a node has opened */
+    amb_http_handler handler;
+    void *arg;
+    size_t body_most; /* of a request */
+};
+
 struct sim_node {
-    struct amb_node *node;
+    const struct sim_node_side *side; /* its version */
+    void *node;
     bool alive;
+    bool old; /* it is of the production version, also when it comes back */
     uint64_t incarnation;
-    amb_http_handler front, side;
-    size_t front_most, side_most; /* of a request's body */
-    void *front_arg, *side_arg;
-    bool led; /* when last looked at */
+    struct sim_server front, back; /* for users and workers; for the other nodes */
+    bool led;                      /* when last looked at */
     struct amb_timer restart;
 };
 
@@ -106,6 +119,15 @@
                   SIM_UNKNOWN_TEAM,
                   SIM_OVER_LIMIT, /* all tasks of a gang exceed its team's limit */
                   SIM_LACKS_FIELD,
+                  SIM_AWAITS_UNKNOWN,   /* a job that was never accepted */
+                  SIM_AWAITS_MALFORMED, /* awaits is no list of job names */
+                  SIM_ODDITIES,
+};
+
+/* When the user of a job that awaits others submits it. */
+enum sim_moment {
+    SIM_WHEN_ACCEPTED, /* as soon as those that it awaits are accepted */
+    SIM_WHEN_OVER,     /* when they are done or cancelled */
 };
 
 struct sim_job {
@@ -117,6 +139,12 @@
     amb_ms waits_from; /* its tasks could have been placed ever since, and were not */
     uint64_t was_placed;
     bool uneven, brief;
+    int pipeline;           /* 0: none */
+    int awaits[SIM_AWAITS]; /* places in world.jobs */
+    int await_count;
+    bool awaits_earlier; /* some job of before too, chosen when it is submitted */
+    enum sim_moment moment;
+    bool cancel_at_end; /* its user cancels it at the moment of its end */
     bool done[SIM_JOB_TASKS];
     struct amb_timer timer;
 };
@@ -145,6 +173,8 @@
     int key_count, lease_count, change_count;
     int refused_nodes; /* at the last tick */
     uint64_t revision, lease_serial;
+    double change_tokens; /* changes that it takes now */
+    amb_ms change_tokens_at;
 };
 
 struct sim_rental { /* a rental request that was granted */
@@ -191,6 +221,8 @@
     bool fault_begun[SIM_FAULT_LIST];
     size_t fault_count;
     amb_ms troubles_over; /* all faults and what they left under way */
+    struct amb_timer upgrade_timer;
+    bool upgraded; /* all nodes have been of the present version at some moment */
 
     struct sim_node nodes[SIM_NODES];
     struct sim_state_service state;
@@ -207,6 +239,11 @@
 };
 extern struct sim_world world;
 
+/* Called for every transaction that the state service carries out, and for every message between nodes that
+ * is answered; NULL: nobody watches. Outlives a day. */
+extern void (*sim_watch_transaction)(const struct sim_call *call, const cbor_item_t *transaction);
+extern void (*sim_watch_message)(const struct sim_call *call);
+
 /* clock.c */
 uint64_t sim_random(void);
 amb_ms sim_between(amb_ms least, amb_ms most);
@@ -246,6 +283,21 @@
 void sim_job_ended(struct sim_job *job);    /* its last task has completed */
 void sim_cancel_burst(int count, amb_ms hang);
 void sim_begin_odd_requests(void);
+struct sim_job *sim_job_new(void);
+void sim_draw_spec(struct amb_spec *spec);
+void sim_user_comes(struct sim_job *job, amb_ms at);
+
+/* pipelines.c */
+void sim_draw_pipelines(amb_ms length);
+bool sim_may_submit(struct sim_job *job); /* are the jobs that it awaits as far as its user wants them? */
+void sim_put_awaits(struct amb_buf *body, const struct sim_job *job); /* into the body of its submission */
+void sim_look_at_pipeline(const struct sim_job *job); /* its users ask about all its jobs at all nodes */
+bool sim_needs_done(const struct sim_job *job);       /* are all jobs that it awaits done? */
+bool sim_is_before(const struct sim_job *job, const struct sim_job *other); /* does other need it? */
+/* The job itself, or one before it whose cancellation was asked for and not answered with `done`. */
+bool sim_cancel_wanted(const struct sim_job *job);
+/* When a user was first told that it, or a job before it, is cancelled; 0: never. */
+amb_ms sim_cancel_told_at(const struct sim_job *job);
 
 /* faults.c */
 bool sim_fault_active(enum sim_fault_kind kind, int which); /* which < 0: any */
@@ -267,6 +319,9 @@
 void sim_check_end(void); /* of the day */
 
 /* nodes.c */
+void sim_start_nodes(void);
+void sim_begin_upgrade(const struct sim_fault *fault);
+void sim_note_upgrade(void); /* is it over? */
 void sim_node_start(void *arg);
 void sim_node_kill(int index, amb_ms back);
 int sim_leader(void);
