Submissions are refused when a node's memory has no room to keep the job

Cause: only tasks in the leader's care had a bound (a third of memory_mb). The table of all jobs grew with whatever was accepted, until the node ended for memory, and with it all nodes, since all hold the same table.

Ruled out: refusing at the leader only (any node accepts); counting bytes of the heap (depends on the allocator).

Change: lib/memory.c divides the quota: a third for tasks, a third for the table of jobs, the rest for the program, machines, connections and messages. A submission beyond it, or of more tasks than 0.4 of the quota holds, gets 503 with Retry-After. Known jobs are answered as before.

--- a/include/amberpin/jobs.h
+++ b/include/amberpin/jobs.h
@@ -11,11 +11,12 @@
 struct amb_sync;
 
 struct amb_jobs {
-    struct amb_job *all;    /* by ref */
-    struct amb_job *live;   /* in the leader's care */
-    size_t task_count;      /* of these */
-    bool left_out;          /* some jobs are not among them for want of memory */
-    bool room_made;         /* a job has left since */
+    struct amb_job *all;  /* by ref */
+    size_t described;     /* of these, jobs whose description is held */
+    struct amb_job *live; /* in the leader's care */
+    size_t task_count;    /* of these */
+    bool left_out;        /* some jobs are not among them for want of memory */
+    bool room_made;       /* a job has left since */
     uint64_t cancellations; /* counts whatever becomes known of any */
     /* The change feed's: */
     bool loaded;
@@ -34,6 +35,8 @@
 void amb_job_key(char *out, size_t cap, const char *ref);
 /* The job's value in the state service, if it were in this state. */
 void amb_job_value(struct amb_buf *b, const struct amb_job *job, enum amb_job_state state);
+/* Frees the description of a job that needs none any more. */
+void amb_job_drop_spec(struct amb_node *node, struct amb_job *job);
 /* News of a job: its value and the stamp of its change. */
 void amb_jobs_apply(struct amb_node *node, const char *ref, const cbor_item_t *value, uint64_t stamp);
 /* This node has written the job in this state: as if news had come of it. */
--- /dev/null
+++ b/include/amberpin/memory.h
@@ -0,0 +1,23 @@
+/* How a node divides its memory quota (`memory_mb` in the settings) among what grows with the work that users
+ * submit. What is accepted has to be kept, so a submission that would exceed a share is refused until room is
+ * made: jobs end, and tasks leave the leader's care. docs/memory.md has the table. */
+#ifndef AMBERPIN_MEMORY_H
+#define AMBERPIN_MEMORY_H
+
+#include "amberpin/model.h"
+
+struct amb_node;
+struct amb_settings;
+
+/* Tasks that the leader cares for at a time. Jobs beyond that are accepted, and wait for room. */
+size_t amb_memory_tasks(const struct amb_settings *settings);
+/* Tasks of the largest job that is accepted: it has to fit even when it is cared for alone. */
+size_t amb_memory_tasks_of_one_job(const struct amb_settings *settings);
+/* What the table of all jobs may take, in bytes, and what it takes now. */
+size_t amb_memory_job_table(const struct amb_settings *settings);
+size_t amb_memory_job_table_used(const struct amb_node *node);
+
+/* Whether there is room for one job more, as its user describes it. */
+bool amb_memory_holds(const struct amb_node *node, const struct amb_spec *spec);
+
+#endif
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -53,16 +53,20 @@
     if (job->spec->kind == AMB_GANG) amb_gang_state(job, AMB_GANG_TEARING, cause);
 }
 
+void amb_job_drop_spec(struct amb_node *node, struct amb_job *job) {
+    if (!job->spec) return;
+    free(job->spec);
+    job->spec = NULL;
+    node->jobs.described--;
+}
+
 static void job_state(struct amb_node *node, struct amb_job *job, enum amb_job_state to) {
     if (to == AMB_JOB_CANCELLED) node->jobs.cancellations++;
     if (job->state == to) return;
     amb_info("job %s: %s -> %s", job->ref, amb_codec_job_state(job->state, false),
              amb_codec_job_state(to, false));
     job->state = to;
-    if (to == AMB_JOB_DONE && !job->live) {
-        free(job->spec);
-        job->spec = NULL;
-    }
+    if (to == AMB_JOB_DONE && !job->live) amb_job_drop_spec(node, job);
     if (to == AMB_JOB_CANCELLED && job->live) {
         stop_tasks(node, job, "its job is cancelled");
         amb_controller_wake(node);
@@ -80,6 +84,7 @@
     struct amb_spec *spec = amb_alloc(sizeof *spec);
     if (amb_codec_spec(amb_cbor_get(value, "d"), spec) == AMB_PARSE_OK) {
         job->spec = spec;
+        node->jobs.described++;
         job->team = amb_settings_team(&node->set, spec->team);
     } else {
         amb_error("job %s: its record can't be read", job->ref);
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -61,7 +61,7 @@
     NUM("params.cloud.rps", cloud_rps, 0.05, 1e6),
     NUM("params.cloud.list_lag_s", list_lag_s, 0, 3600),
     NUM("params.quota.cores", cores, 0.001, 1024),
-    NUM("params.quota.memory_mb", memory_mb, 8, 1e6),
+    NUM("params.quota.memory_mb", memory_mb, 4, 1e6),
     NUM("params.quota.fd_limit", fd_limit, 32, 1e6),
     NUM("params.skew_ms", skew_ms, 0, 1e6),
 };
--- a/lib/tasks.c
+++ b/lib/tasks.c
@@ -1,6 +1,7 @@
 /* The leader's care of jobs: which jobs it holds tasks of, and one function for every change of a task's or
  * gang's state. */
 #include "amberpin/log.h"
+#include "amberpin/memory.h"
 #include "amberpin/node.h"
 
 #include <stdlib.h>
@@ -16,14 +17,9 @@
     return type >= 0 && (job->type_mask >> type & 1);
 }
 
-static size_t task_bound(const struct amb_node *node) {
-    /* Tasks in our care may take up to a third of the memory. */
-    return (size_t)(node->set.memory_mb * 1024 * 1024 / 3 / sizeof(struct amb_task));
-}
-
 void amb_job_take_if_room(struct amb_node *node, struct amb_job *job) {
     if (job->live || !job->spec) return;
-    if (node->jobs.task_count && node->jobs.task_count + job->spec->tasks > task_bound(node))
+    if (node->jobs.task_count && node->jobs.task_count + job->spec->tasks > amb_memory_tasks(&node->set))
         node->jobs.left_out = true;
     else
         amb_job_take(node, job);
@@ -81,10 +77,7 @@
     job->blocks = NULL;
     job->tasks = NULL;
     job->live = false;
-    if (job->state == AMB_JOB_DONE) {
-        free(job->spec);
-        job->spec = NULL;
-    }
+    if (job->state == AMB_JOB_DONE) amb_job_drop_spec(node, job);
 }
 
 uint32_t amb_job_waiting(const struct amb_job *job) {
--- a/lib/user_api.c
+++ b/lib/user_api.c
@@ -4,6 +4,7 @@
 
 #include "amberpin/admission.h"
 #include "amberpin/log.h"
+#include "amberpin/memory.h"
 #include "amberpin/node.h"
 
 #include <stdio.h>
@@ -179,7 +180,8 @@
          * read first. */
         request->refusal = parsed == AMB_PARSE_OK ? 422 : 400;
         wait_for_fresh_read(request);
-    } else if (admission == AMB_UNDECIDED || !amb_store_can_write(&node->store, 1, kept_for_others(spec))) {
+    } else if (admission == AMB_UNDECIDED || !amb_memory_holds(node, spec) ||
+               !amb_store_can_write(&node->store, 1, kept_for_others(spec))) {
         reply_status(request, 503);
     } else {
         send_submission(request, spec);
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -9,6 +9,7 @@
     struct amb_job *j = amb_alloc(sizeof *j);
     strcpy(j->ref, ref);
     j->spec = amb_alloc(sizeof *j->spec);
+    node->jobs.described++;
     strcpy(j->spec->ref, ref);
     strcpy(j->spec->image, "img");
     j->spec->kind = kind;
--- a/tests/standin/day.c
+++ b/tests/standin/day.c
@@ -4,7 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { START_MS = 100000 /* a steady clock starts anywhere */, FIRST_MACHINES = 2, FIRST_BOOT_MS = 500 };
+enum {
+    START_MS = 100000 /* a steady clock starts anywhere */,
+    FIRST_MACHINES = 2,
+    FIRST_BOOT_MS = 500,
+    AMPLE_MEMORY_MB = 40
+};
 
 const struct sim_size sim_small = {3, 12, 16, 12, 3, 1000, 10000, 30000, 200, 20, 3},
                       sim_grown = {7, 120, 120, 40, 3, 1000, 10000, 30000, 200, 20, 3},
@@ -60,9 +65,10 @@
     if (end % 1000 == 0) sim_check_second();
 }
 
-struct sim_result sim_play(const struct sim_plan *plan) {
+struct sim_result sim_play_with_memory(const struct sim_plan *plan, double memory_mb) {
     reset(plan->size, plan->seed);
     world.load = plan->load;
+    world.memory_mb = memory_mb;
     take_faults(plan->faults, plan->fault_count);
     for (int i = 0; i < world.size->nodes; i++) sim_node_start(&world.nodes[i]);
     for (int i = 0; i < FIRST_MACHINES; i++) sim_machine_new(i, false, FIRST_BOOT_MS);
@@ -73,6 +79,10 @@
     return world.result;
 }
 
+struct sim_result sim_play(const struct sim_plan *plan) {
+    return sim_play_with_memory(plan, AMPLE_MEMORY_MB);
+}
+
 struct sim_result sim_day(const struct sim_size *size, uint64_t seed, amb_ms length,
                           const struct sim_fault *faults, size_t count) {
     const struct sim_plan plan = {size, seed, length, 0, faults, count};
--- a/tests/standin/network.c
+++ b/tests/standin/network.c
@@ -141,8 +141,7 @@
     struct sim_call *call = asked->call;
     struct amb_buf b = {0};
     (void)type;
-    if (status == 503 && !retry && strcmp(req->path, "/healthz"))
-        sim_broken("a 503 without Retry-After for %s", req->path);
+    sim_check_reply(world.nodes[world.current].node, req, status, retry);
     /* Without the serial a late answer went to whoever's call had taken the place since. */
     if (call->used && call->serial == asked->serial && !call->answered) {
         if (len) amb_buf_add(&b, body, len);
--- a/tests/standin/nodes.c
+++ b/tests/standin/nodes.c
@@ -45,7 +45,7 @@
     set->cloud_rps = world.size->cloud;
     set->list_lag_s = SIM_LIST_LAG_MS / 1000.0;
     set->cores = 0.1;
-    set->memory_mb = 40;
+    set->memory_mb = world.memory_mb;
     set->fd_limit = 500;
 }
 
--- a/tests/standin/rules.c
+++ b/tests/standin/rules.c
@@ -1,6 +1,7 @@
 /* The protocol's rules, checked at every start, answer and tick. */
 #include "world.h"
 
+#include "amberpin/memory.h"
 #include "amberpin/place.h"
 
 #include <stdarg.h>
@@ -20,6 +21,30 @@
     snprintf(world.result.broken, sizeof world.result.broken, "at %lld ms: %s", (long long)world.now, text);
 }
 
+static bool is_submission(const struct amb_http_req *req) {
+    return !strcmp(req->method, "POST") && !strcmp(req->path, "/v1/jobs");
+}
+
+void sim_check_reply(const struct amb_node *node, const struct amb_http_req *req, int status,
+                     int retry_after_s) {
+    static const struct amb_spec small = {.tasks = 1};
+    if (status == 503 && !retry_after_s && strcmp(req->path, "/healthz"))
+        sim_broken("a 503 without Retry-After for %s", req->path);
+    if (status == 503 && is_submission(req) && !amb_memory_holds(node, &small))
+        world.result.refused_for_memory++;
+}
+
+/* Nodes hear of what others accept a moment later: by then a tenth of a second's writes may have been
+ * accepted beyond the share. */
+static void check_memory(const struct amb_node *node) {
+    size_t used = amb_memory_job_table_used(node);
+    size_t accepted_at_once =
+        (size_t)world.size->writes / 10 * (sizeof(struct amb_job) + sizeof(struct amb_spec));
+    if (used > world.result.job_table_most) world.result.job_table_most = used;
+    if (used > amb_memory_job_table(&node->set) + accepted_at_once)
+        sim_broken("memory: %s holds %zu bytes of jobs", node->set.member, used);
+}
+
 /* Tasks on other machines, as a start finds them. */
 struct crowd {
     uint32_t in_zone[2]; /* of the same job */
@@ -240,6 +265,8 @@
         check_waiting(&survey, &world.jobs[i]);
         check_answered(&world.jobs[i]);
     }
+    for (int i = 0; i < world.size->nodes; i++)
+        if (world.nodes[i].alive) check_memory(world.nodes[i].node);
 }
 
 void sim_check_end(void) {
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -70,6 +70,7 @@
     SIM_LOAD_STREAM = 4,   /* jobs of one short task, four a second, a quarter of them cancelled */
     SIM_LOAD_UNEVEN = 8,   /* jobs of two or three tasks that end far apart */
     SIM_LOAD_CROWDED = 16, /* more work than room, urgent and not, and limits that don't bind */
+    SIM_LOAD_FLOOD = 32,   /* jobs of one short task, far more at a time than can run */
 };
 
 /* A day: everything in it follows from these. */
@@ -91,10 +92,14 @@
     uint32_t orders_after_cancel;  /* run orders sent after the cancellation was confirmed */
     uint32_t starts_after_cancel;  /* starts of tasks after it, of orders sent before it too */
     amb_ms latest_order;           /* the longest that an order was sent after the confirmation */
+    uint32_t refused_for_memory;   /* submissions answered 503 by a node without room for a job more */
+    size_t job_table_most;         /* bytes, the most that a node's table of jobs took */
     char broken[256];              /* the first rule broken; empty: none */
 };
 
 struct sim_result sim_play(const struct sim_plan *plan);
+/* With as much memory for each node; sim_play gives them ample. */
+struct sim_result sim_play_with_memory(const struct sim_plan *plan, double memory_mb);
 
 /* Plays an ordinary day of `length` with jobs and small luck drawn from the seed. */
 struct sim_result sim_day(const struct sim_size *size, uint64_t seed, amb_ms length,
--- a/tests/standin/users.c
+++ b/tests/standin/users.c
@@ -305,6 +305,12 @@
     }
 }
 
+static void draw_flood(amb_ms length) {
+    enum { JOBS = 2000, RUN_S = 1 };
+    for (int i = 0; i < JOBS; i++)
+        array_new(world.now + sim_between(10000, 10000 + length / 8), 1, RUN_S)->spec.each.gpus = 1;
+}
+
 static void draw_uneven(amb_ms length) {
     for (int i = 0; i < world.size->jobs / 2; i++) {
         amb_ms at = world.now + sim_between(2000, length / 3);
@@ -326,4 +332,5 @@
     if (world.load & SIM_LOAD_STREAM) draw_stream(length);
     if (world.load & SIM_LOAD_UNEVEN) draw_uneven(length);
     if (world.load & SIM_LOAD_CROWDED) draw_crowd(length);
+    if (world.load & SIM_LOAD_FLOOD) draw_flood(length);
 }
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -174,6 +174,7 @@
 struct sim_world {
     const struct sim_size *size;
     unsigned load;
+    double memory_mb;
     uint64_t random;
     amb_ms now;
     int current; /* the node whose code runs, or -1 */
@@ -264,7 +265,9 @@
 void sim_check_answer(const struct sim_call *call, const cbor_item_t *body);         /* to a user */
 void sim_check_second(void);                                                         /* what must not last */
 void sim_check_order(const struct sim_job *job, amb_ms issued);
-void sim_check_end(void); /* of the day */
+void sim_check_reply(const struct amb_node *node, const struct amb_http_req *req, int status,
+                     int retry_after_s); /* of a node */
+void sim_check_end(void);                /* of the day */
 
 /* nodes.c */
 void sim_node_start(void *arg);
--- /dev/null
+++ b/tests/test_memory.c
@@ -0,0 +1,158 @@
+/* What a node's memory quota has room for, and what users are told when it is full. */
+#include "amberpin/memory.h"
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "node_fixture.h"
+
+#include "amberpin/user_api.h"
+
+#include <unistd.h>
+
+enum { MIB = 1024 * 1024, TOO_MANY = -1 };
+
+static void shares_of_the_quota(void **state) {
+    (void)state;
+    static const struct {
+        double memory_mb;
+        size_t tasks, one_job, table;
+    } rows[] = {
+        {37, 37 * MIB / 3 / 96, 161655, 37 * MIB / 3},
+        {27, 27 * MIB / 3 / 96, 117964, 9 * MIB},
+        {6.75, 2359296 / 96, 29491, 2359296},
+    };
+    assert_int_equal(sizeof(struct amb_task), 96);
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        const struct amb_settings settings = {.memory_mb = rows[i].memory_mb};
+        assert_int_equal(amb_memory_tasks(&settings), rows[i].tasks);
+        assert_int_equal(amb_memory_tasks_of_one_job(&settings), rows[i].one_job);
+        assert_int_equal(amb_memory_job_table(&settings), rows[i].table);
+    }
+}
+
+/* A quarter of the smallest deployment's memory is enough to start with. */
+static void small_quotas_are_settings(void **state) {
+    (void)state;
+    static const struct {
+        const char *memory;
+        bool good;
+    } rows[] = {{"6.75", true}, {"4.0", true}, {"3.9", false}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        char text[16384], path[] = "/tmp/amberpin-memory-XXXXXX", err[256];
+        struct amb_settings settings;
+        FILE *sample = fopen("tests/data/good.toml", "r"), *out = fdopen(mkstemp(path), "w");
+        assert_true(sample && out);
+        text[fread(text, 1, sizeof text - 1, sample)] = 0;
+        char *at = strstr(text, "memory_mb = 56.0");
+        assert_non_null(at);
+        fprintf(out, "%.*smemory_mb = %s%s", (int)(at - text), text, rows[i].memory,
+                at + strlen("memory_mb = 56.0"));
+        fclose(sample);
+        fclose(out);
+        assert_int_equal(amb_settings_load(path, &settings, err, sizeof err), rows[i].good);
+        unlink(path);
+    }
+}
+
+/* ---- submissions ---- */
+
+static void put_submission(struct amb_buf *body, const char *ref, uint32_t tasks) {
+    struct amb_spec spec = {.kind = AMB_ARRAY, .priority = AMB_PROD, .tasks = tasks, .each = {8, 1, 40}};
+    strcpy(spec.ref, ref);
+    strcpy(spec.class_name, "c");
+    strcpy(spec.team, "t");
+    strcpy(spec.image, "img");
+    amb_codec_put_spec(body, &spec);
+}
+
+/* The status at once; 0: the job is being written. */
+static struct fake_reply submit(const char *ref, uint32_t tasks) {
+    struct amb_buf body = {0};
+    struct fake_reply reply = {0};
+    put_submission(&body, ref, tasks);
+    assert_true(amb_user_request(node, fake_request("POST", "/v1/jobs", &body, &reply)));
+    amb_buf_free(&body);
+    amb_buf_free(&reply.body);
+    return reply;
+}
+
+static void begin(void) {
+    teardown(NULL);
+    setup(NULL);
+    strcpy(node->set.teams[0].name, "t");
+    strcpy(node->set.state, "S:1");
+    node->set.state_rps = node->set.state_write_rps = 1000;
+    node->jobs.loaded = true;
+    amb_store_init(&node->store, &node->set, 1000);
+}
+
+static size_t bytes_of(size_t jobs, size_t described) {
+    return jobs * (sizeof(struct amb_job) + 32) + described * (sizeof(struct amb_spec) + 16);
+}
+
+static void full_tables_refuse(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        double room_for; /* described jobs in the table */
+        uint32_t described, over;
+        int tasks; /* 0: as many as can be cared for at a time */
+        int status;
+    } rows[] = {
+        {"an empty table", 1.01, 0, 0, 1, 0},
+        {"room for one job less", 0.99, 0, 0, 1, 503},
+        {"the last place", 3.01, 2, 0, 1, 0},
+        {"a full table", 2.99, 2, 0, 1, 503},
+        {"jobs that are over take less", 2.5, 1, 2, 1, 0},
+        {"but something", 2.3, 1, 2, 1, 503},
+        {"a job of many tasks", 50, 0, 0, 0, 0},
+        {"of more than can ever be cared for", 50, 0, 0, TOO_MANY, 503},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin();
+        node->set.memory_mb = 3 * rows[i].room_for * (double)bytes_of(1, 1) / MIB;
+        uint32_t most = (uint32_t)amb_memory_tasks_of_one_job(&node->set);
+        uint32_t tasks = rows[i].tasks == TOO_MANY ? most + 1
+                         : rows[i].tasks           ? (uint32_t)rows[i].tasks
+                                                   : most;
+        for (uint32_t k = 0; k < rows[i].described + rows[i].over; k++) {
+            char ref[AMB_NAME];
+            snprintf(ref, sizeof ref, "wk-%u", k);
+            struct amb_job *job = add_job(ref, AMB_ARRAY, 1);
+            if (k < rows[i].described) continue;
+            amb_job_leave(node, job);
+            job->state = AMB_JOB_DONE;
+            amb_job_drop_spec(node, job);
+        }
+        assert_int_equal(amb_memory_job_table_used(node),
+                         bytes_of(rows[i].described + rows[i].over, rows[i].described));
+        struct fake_reply reply = submit("wk-new", tasks);
+        if (reply.status != rows[i].status) fail_msg("%s: %d", rows[i].what, reply.status);
+        assert_int_equal(reply.retry_after_s > 0, reply.status == 503);
+        assert_int_equal(fake_calls_open("POST", "/commit"), reply.status == 0);
+        fake_answer_all_lost();
+        fake_http_reset();
+    }
+}
+
+/* A job that was accepted is answered whatever the memory. */
+static void known_jobs_are_not_refused(void **state) {
+    (void)state;
+    begin();
+    struct amb_job *job = add_job("wk-1", AMB_ARRAY, 1);
+    amb_job_leave(node, job);
+    job->state = AMB_JOB_DONE;
+    node->set.memory_mb = 0;
+    assert_int_equal(submit("wk-1", 1).status, 200);
+    fake_http_reset();
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(shares_of_the_quota, setup, teardown),
+        cmocka_unit_test_setup_teardown(small_quotas_are_settings, setup, teardown),
+        cmocka_unit_test_setup_teardown(full_tables_refuse, setup, teardown),
+        cmocka_unit_test_setup_teardown(known_jobs_are_not_refused, setup, teardown),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_small_memory.c
@@ -0,0 +1,73 @@
+/* Days at a quarter of the memory of the smallest deployments: nodes refuse submissions while their tables
+ * are full, in time, and lose nothing that they have accepted. */
+#include "check.h"
+#include "named_tests.h"
+#include "standin.h"
+
+#include "amberpin/memory.h"
+
+enum { DAY = 240000, FLOOD_JOBS = 2000 };
+
+static const double QUARTER_OF_LEAN_MB = 27.0 / 4, AMPLE_MB = 40;
+
+/* Twenty jobs of the ordinary kind beside a load; writes are no bottleneck. */
+static const struct sim_size size = {3, 40, 20, 6, 3, 1000, 10000, 30000, 2000, 400, 6};
+
+static struct sim_result play(uint64_t seed, double memory_mb, const struct sim_fault *faults, size_t count) {
+    const struct sim_plan plan = {&size, seed, DAY, SIM_LOAD_FLOOD, faults, count};
+    struct sim_result r = sim_play_with_memory(&plan, memory_mb);
+    if (getenv("SIM_TRACE"))
+        printf(
+            "seed %llu, %g MB: %u accepted, %u done, %u left open, %u refused for memory, table %zu bytes\n",
+            (unsigned long long)seed, memory_mb, r.accepted, r.done, r.open, r.refused_for_memory,
+            r.job_table_most);
+    if (r.broken[0]) fail_msg("seed %llu, %g MB: %s", (unsigned long long)seed, memory_mb, r.broken);
+    return r;
+}
+
+/* With ample memory the same day fills more than the share that a small node has. */
+static void ample_memory_refuses_nothing(void **state) {
+    (void)state;
+    const struct amb_settings small = {.memory_mb = QUARTER_OF_LEAN_MB};
+    struct sim_result r = play(1, AMPLE_MB, NULL, 0);
+    assert_int_equal(r.refused_for_memory, 0);
+    assert_true(r.job_table_most > amb_memory_job_table(&small));
+    assert_true(r.accepted > FLOOD_JOBS);
+    assert_int_equal(r.open, 0);
+}
+
+static void must_refuse_and_lose_nothing(uint64_t seed, const struct sim_fault *faults, size_t count) {
+    struct sim_result r = play(seed, QUARTER_OF_LEAN_MB, faults, count);
+    if (r.refused_for_memory < 100 || r.accepted <= FLOOD_JOBS || r.done < FLOOD_JOBS || r.open)
+        fail_msg("seed %llu: %u refused for memory, %u accepted, %u done, %u left open",
+                 (unsigned long long)seed, r.refused_for_memory, r.accepted, r.done, r.open);
+}
+
+static void full_tables_refuse_submissions(void **state) {
+    (void)state;
+    for (uint64_t seed = 1; seed <= 2; seed++) must_refuse_and_lose_nothing(seed, NULL, 0);
+}
+
+/* The successor reads all that was accepted, which fills its table, and refuses too. */
+static void leaders_end_while_tables_are_full(void **state) {
+    (void)state;
+    static const struct sim_fault faults[] = {{SIM_KILL, 30000, 1, -1}, {SIM_KILL, 45000, 1, -1}};
+    must_refuse_and_lose_nothing(3, faults, ROWS(faults));
+}
+
+static void outage_while_tables_are_full(void **state) {
+    (void)state;
+    static const struct sim_fault faults[] = {{SIM_OUTAGE, 30000, 12000, -1}};
+    must_refuse_and_lose_nothing(4, faults, ROWS(faults));
+}
+
+int main(int argc, char **argv) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(ample_memory_refuses_nothing),
+        cmocka_unit_test(full_tables_refuse_submissions),
+        cmocka_unit_test(leaders_end_while_tables_are_full),
+        cmocka_unit_test(outage_while_tables_are_full),
+    };
+    if (!choose_named_test(tests, ROWS(tests), argc, argv)) return 2;
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
