Cancelled jobs are kept in order, and lose their descriptions once their tasks are gone

Cause: each answer to a leader that lacks a cancellation, each new message of a follower, and each look for the newest walked all jobs ever accepted. And a cancelled job kept its description (1.4 KB of 1.8) for good; services all end so.

--- a/bench/case_heartbeat.c
+++ b/bench/case_heartbeat.c
@@ -1,6 +1,7 @@
 /* Messages between nodes: what a node says to all others twice a report, and what each does with it. */
 #include "cases.h"
 
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -74,6 +75,37 @@
     free(r);
 }
 
+/* The answer to a leader that lacks the newest cancellation only. */
+struct asking {
+    struct amb_node *node;
+    json_t *question;
+};
+
+static void *asked(const struct world_size *size) {
+    struct asking *a = amb_alloc(sizeof *a);
+    uint64_t newest = 0;
+    a->node = follower(size, 1);
+    for (const struct amb_job *job = a->node->jobs.all; job; job = job->hh.next)
+        if (job->cancel_stamp > newest) newest = job->cancel_stamp;
+    a->question = json_pack("{s:I}", "epoch", (json_int_t)newest - 1);
+    return a;
+}
+
+static void answer(void *input) {
+    struct asking *a = input;
+    json_decref(amb_peer_answer(a->node, a->question));
+}
+
+static void finish_asking(void *input) {
+    struct asking *a = input;
+    world_free(a->node);
+    json_decref(a->question);
+    free(a);
+}
+
+/* The grown size when it has run for half a day. */
+static const struct world_size aged = {"aged", 7, 120, 60, 40, 20000, 20, 14, 6, 1, 10, 30};
+
 static const struct bench_case cases[] = {
     {"heartbeat/build-leader", &world_sizes[0], leader, build, finish, false},
     {"heartbeat/build-leader", &world_sizes[1], leader, build, finish, false},
@@ -81,6 +113,8 @@
     {"heartbeat/build-follower", &world_sizes[0], following, build, finish, false},
     {"heartbeat/build-follower", &world_sizes[1], following, build, finish, false},
     {"heartbeat/build-follower", &world_sizes[2], following, build, finish, false},
+    {"heartbeat/answer-newer", &world_sizes[1], asked, answer, finish_asking, false},
+    {"heartbeat/answer-newer", &aged, asked, answer, finish_asking, false},
     {"heartbeat/receive-from-leader", &world_sizes[0], from_leader, receive, finish_receiving, false},
     {"heartbeat/receive-from-leader", &world_sizes[1], from_leader, receive, finish_receiving, false},
     {"heartbeat/receive-from-leader", &world_sizes[2], from_leader, receive, finish_receiving, false},
--- a/bench/world.c
+++ b/bench/world.c
@@ -440,5 +440,6 @@
     amb_timer_stop(&node->peers.timer);
     amb_timer_stop(&node->store.pump);
     amb_peer_forget(node);
+    amb_cancellations_free(&node->jobs.cancellations);
     free(node);
 }
--- a/include/amberpin/jobs.h
+++ b/include/amberpin/jobs.h
@@ -4,6 +4,7 @@
 #ifndef AMBERPIN_JOBS_H
 #define AMBERPIN_JOBS_H
 
+#include "amberpin/cancellations.h"
 #include "amberpin/codec.h"
 #include "amberpin/loop.h"
 
@@ -17,7 +18,7 @@
     size_t task_count;    /* of these */
     bool left_out;        /* some jobs are not among them for want of memory */
     bool room_made;       /* a job has left since */
-    uint64_t cancellations; /* counts whatever becomes known of any */
+    struct amb_cancellations cancellations;
     /* The change feed's: */
     bool loaded;
     uint64_t epoch;       /* everything below a/ up to here is known */
--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -145,6 +145,8 @@
     struct amb_spec *spec; /* NULL once done */
     struct amb_team *team;
     int64_t accepted_wall, cancelled_wall;
+    bool cancel_noted;     /* it is listed in struct amb_cancellations */
+    bool tasks_gone;       /* cancelled so long ago that none can be left; its description is not kept */
     uint64_t cancel_stamp; /* of its cancellation, known from news, our own write or another node; 0: none */
     uint32_t shown_done, shown_running; /* as the leader last said */
     bool shown_changed;
--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -172,7 +172,6 @@
     struct json_t *images; /* by machine, as the leader last said: what its cache is thought to hold */
     /* With the cancellations of late; and with none, for a leader that knows of all. */
     struct amb_peer_saying recent, nothing_newer;
-    uint64_t newest_cancel_stamp, newest_cancel_count; /* of all known when there were so many */
     uint32_t heartbeats;
     uint32_t count;
     struct amb_peer list[AMB_PEERS];
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -148,6 +148,7 @@
     amb_timer_in(&c->timer, amb_secs(n->ctl.beat_s * 0.1), tick, n);
     amb_rental_tick(n, now);
     amb_deputy_tick(n, now);
+    amb_cancellations_drop_descriptions(n, now);
     if (!amb_leads(n)) return;
     if (c->loading) load_tick(n, now);
     amb_jobs_take_left_out(n);
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -61,7 +61,7 @@
 }
 
 static void job_state(struct amb_node *node, struct amb_job *job, enum amb_job_state to) {
-    if (to == AMB_JOB_CANCELLED) node->jobs.cancellations++;
+    if (to == AMB_JOB_CANCELLED) amb_cancellation_note(node, job);
     if (job->state == to) return;
     amb_info("job %s: %s -> %s", job->ref, amb_codec_job_state(job->state, false),
              amb_codec_job_state(to, false));
@@ -111,7 +111,7 @@
     if (amb_cbor_uint(amb_cbor_get(value, "a"), &number)) job->accepted_wall = (int64_t)number;
     if (amb_cbor_uint(amb_cbor_get(value, "c"), &number)) job->cancelled_wall = (int64_t)number;
     if (amb_cbor_uint(amb_cbor_get(value, "n"), &number)) job->shown_done = (uint32_t)number;
-    if (!job->spec && to != AMB_JOB_DONE) read_spec(node, job, value);
+    if (!job->spec && !job->tasks_gone && to != AMB_JOB_DONE) read_spec(node, job, value);
     if (to == AMB_JOB_CANCELLED) job->cancel_stamp = stamp;
     /* Another node's word may come before the news of the job: a cancellation is final. */
     if (to == AMB_JOB_QUEUED && job->cancel_stamp > stamp) to = AMB_JOB_CANCELLED;
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -63,15 +63,17 @@
     return n->peers.count && !heard;
 }
 
-/* A cancellation is listed if it is newer than `epoch` (up to which the asker knows all), or newer than
- * `wall` in the time of day; 0: not by this measure. */
+/* Cancellations that are newer than `epoch` (up to which the asker knows all), or if that is 0 newer than
+ * `wall` in the time of day. */
 static json_t *cancellations(const struct amb_node *n, uint64_t epoch, int64_t wall) {
+    const struct amb_cancellations *all = &n->jobs.cancellations;
+    const struct amb_cancellation_list *sorted = epoch ? &all->by_stamp : &all->by_wall;
     json_t *list = json_array();
-    for (const struct amb_job *j = n->jobs.all; j; j = j->hh.next) {
-        bool newer = (epoch && j->cancel_stamp > epoch) || (wall && j->cancelled_wall > wall);
-        if (j->state == AMB_JOB_CANCELLED && newer)
-            json_array_append_new(list, json_pack("[s,I,I]", j->ref, (json_int_t)j->cancelled_wall,
-                                                  (json_int_t)j->cancel_stamp));
+    for (size_t i = amb_cancellations_after(sorted, epoch ? (int64_t)epoch : wall); i < sorted->count; i++) {
+        const struct amb_job *job = sorted->entries[i].job;
+        if (job->state != AMB_JOB_CANCELLED) continue;
+        json_array_append_new(list, json_pack("[s,I,I]", job->ref, (json_int_t)job->cancelled_wall,
+                                              (json_int_t)job->cancel_stamp));
     }
     return list;
 }
@@ -267,25 +269,22 @@
 static bool still_says(const struct amb_node *n, const struct amb_peer_saying *s) {
     struct amb_peer_facts facts = own_facts(n);
     int64_t wall = amb_wall_ms();
-    return s->text && s->cancellations == n->jobs.cancellations && wall >= s->made_at && wall < s->stale_at &&
-           same_facts(&s->facts, &facts);
+    return s->text && s->cancellations == n->jobs.cancellations.changes && wall >= s->made_at &&
+           wall < s->stale_at && same_facts(&s->facts, &facts);
 }
 
 /* When the first of the cancellations that are recent now will not be so any more. */
 static int64_t recent_until(const struct amb_node *n) {
-    int64_t since = amb_wall_ms() - recent_span(n), until = INT64_MAX;
-    for (const struct amb_job *j = n->jobs.all; j; j = j->hh.next)
-        if (j->state == AMB_JOB_CANCELLED && j->cancelled_wall > since &&
-            j->cancelled_wall + recent_span(n) < until)
-            until = j->cancelled_wall + recent_span(n);
-    return until;
+    const struct amb_cancellation_list *by_wall = &n->jobs.cancellations.by_wall;
+    size_t first = amb_cancellations_after(by_wall, amb_wall_ms() - recent_span(n));
+    return first < by_wall->count ? by_wall->entries[first].key + recent_span(n) : INT64_MAX;
 }
 
 static void keep_saying(struct amb_node *n, struct amb_peer_saying *s, char *text, int64_t stale_at) {
     free(s->text);
     s->text = text;
     s->facts = own_facts(n);
-    s->cancellations = n->jobs.cancellations;
+    s->cancellations = n->jobs.cancellations.changes;
     s->made_at = amb_wall_ms();
     s->stale_at = stale_at;
 }
@@ -303,15 +302,9 @@
     return s->text;
 }
 
-static uint64_t newest_cancel_stamp(struct amb_node *n) {
-    struct amb_peers *p = &n->peers;
-    if (p->newest_cancel_count == n->jobs.cancellations) return p->newest_cancel_stamp;
-    p->newest_cancel_count = n->jobs.cancellations;
-    p->newest_cancel_stamp = 0;
-    for (const struct amb_job *j = n->jobs.all; j; j = j->hh.next)
-        if (j->state == AMB_JOB_CANCELLED && j->cancel_stamp > p->newest_cancel_stamp)
-            p->newest_cancel_stamp = j->cancel_stamp;
-    return p->newest_cancel_stamp;
+static uint64_t newest_cancel_stamp(const struct amb_node *n) {
+    const struct amb_cancellation_list *by_stamp = &n->jobs.cancellations.by_stamp;
+    return by_stamp->count ? (uint64_t)by_stamp->entries[by_stamp->count - 1].key : 0;
 }
 
 static void answer_heartbeat(struct amb_node *n, struct amb_http_req *req, const json_t *question) {
--- a/lib/record.c
+++ b/lib/record.c
@@ -365,7 +365,7 @@
     return zone ? amb_catalog_zone(&n->catalog, name) : amb_catalog_type(&n->catalog, name);
 }
 
-/* Of a job that is done: its leader was lost before it had removed this. */
+/* Of a job that is done or whose tasks are gone: its leader was lost before it had removed this. */
 static void remove_leftover(struct amb_node *n, const char *key, uint64_t stamp) {
     struct amb_txn t = {0};
     amb_txn_guard(&t, LEADER_KEY, n->election.term);
@@ -401,7 +401,7 @@
     struct amb_job *j = amb_job_find(n, ref);
     if (!j || !j->spec) {
         amb_debug("block %s: its job is over", key);
-        if (j && j->state == AMB_JOB_DONE) remove_leftover(n, key, stamp);
+        if (j && (j->state == AMB_JOB_DONE || j->tasks_gone)) remove_leftover(n, key, stamp);
         return;
     }
     amb_job_take(n, j);
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -68,6 +68,7 @@
         free(g);
     }
     amb_peer_forget(node);
+    amb_cancellations_free(&node->jobs.cancellations);
     free(node);
     return 0;
 }
--- /dev/null
+++ b/tests/test_cancellations.c
@@ -0,0 +1,149 @@
+/* Cancelled jobs in order, against a walk over all jobs; and when their descriptions end. */
+#include "check.h"
+#include "fake_http.h"
+#include "node_fixture.h"
+
+#include <jansson.h>
+
+enum { JOBS = 60, STEPS = 400, STAMPS = 500 };
+
+static uint64_t seed;
+
+static uint64_t draw(uint64_t below) {
+    seed ^= seed << 13, seed ^= seed >> 7, seed ^= seed << 17;
+    return seed % below;
+}
+
+/* ---- what messages list, as a walk over all jobs finds it ---- */
+
+static bool is_listed(const json_t *list, const struct amb_job *job) {
+    size_t i;
+    json_t *row;
+    json_array_foreach(list, i, row) {
+        if (strcmp(json_string_value(json_array_get(row, 0)), job->ref)) continue;
+        assert_int_equal(json_integer_value(json_array_get(row, 1)), job->cancelled_wall);
+        assert_int_equal(json_integer_value(json_array_get(row, 2)), job->cancel_stamp);
+        return true;
+    }
+    return false;
+}
+
+static void compare(uint64_t epoch, int64_t recent_since) {
+    json_t *question = json_pack("{s:I}", "epoch", (json_int_t)epoch);
+    json_t *answer = amb_peer_answer(node, question);
+    const json_t *list = json_object_get(answer, "cancelled");
+    size_t expected = 0;
+    for (const struct amb_job *job = node->jobs.all; job; job = job->hh.next) {
+        bool newer = epoch ? job->cancel_stamp > epoch : job->cancelled_wall > recent_since;
+        bool due = job->state == AMB_JOB_CANCELLED && newer;
+        expected += due;
+        assert_int_equal(is_listed(list, job), due);
+    }
+    assert_int_equal(json_array_size(list), expected);
+    json_decref(answer);
+    json_decref(question);
+}
+
+/* Hints and news of cancellations come in any order, some more than once. */
+static void lists_equal_a_walk_over_all_jobs(void **state) {
+    (void)state;
+    enum { SPAN_MS = 60000, STEP_MS = 1000 }; /* twice cancel_s; coarser than a call takes */
+    for (uint64_t round = 1; round <= 5; round++) {
+        teardown(NULL);
+        setup(NULL);
+        seed = round * 0x9e3779b97f4a7c15u;
+        int64_t start = amb_wall_ms() - STEP_MS / 2;
+        for (int step = 0; step < STEPS; step++) {
+            char ref[AMB_NAME];
+            snprintf(ref, sizeof ref, "wk-%llu", (unsigned long long)draw(JOBS));
+            int64_t wall = start - (int64_t)draw(2 * SPAN_MS / STEP_MS) * STEP_MS;
+            struct amb_job *job = amb_job_find(node, ref);
+            if (job && job->state == AMB_JOB_CANCELLED && draw(2)) {
+                job->stamp = 0; /* so that news of it count */
+                amb_job_cancelled(node, job, 1 + draw(STAMPS));
+            } else {
+                amb_job_cancel_hint(node, ref, wall, 1 + draw(STAMPS));
+            }
+            compare(draw(STAMPS), amb_wall_ms() - SPAN_MS);
+        }
+        assert_true(HASH_COUNT(node->jobs.all) > JOBS / 2);
+    }
+}
+
+/* ---- descriptions ---- */
+
+static void descriptions_end_with_the_last_task(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        bool live;
+        double after_cancel; /* times cancel_s since this node heard of it */
+        bool kept;
+    } rows[] = {
+        {"tasks may be left", false, 1.9, true},
+        {"no task can be left", false, 2.1, false},
+        {"the leader still cares for it", true, 2.1, true},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        teardown(NULL);
+        setup(NULL);
+        struct amb_job *job = add_job("wk-1", AMB_ARRAY, 1);
+        if (!rows[i].live) amb_job_leave(node, job);
+        amb_job_cancelled(node, job, 5);
+        amb_ms heard = amb_now();
+        amb_cancellations_drop_descriptions(node,
+                                            heard + amb_secs(rows[i].after_cancel * node->set.cancel_s));
+        if ((job->spec != NULL) != rows[i].kept || job->tasks_gone == rows[i].kept ||
+            node->jobs.described != rows[i].kept)
+            fail_msg("%s", rows[i].what);
+        assert_int_equal(job->state, AMB_JOB_CANCELLED);
+    }
+}
+
+/* Once the leader has let go of it, its description ends at the next look. */
+static void descriptions_end_after_the_leaders_care(void **state) {
+    (void)state;
+    struct amb_job *job = add_job("wk-1", AMB_ARRAY, 1);
+    amb_job_cancelled(node, job, 5);
+    amb_ms span = amb_secs(2.1 * node->set.cancel_s), now = amb_now() + span;
+    amb_cancellations_drop_descriptions(node, now);
+    assert_non_null(job->spec);
+    amb_job_leave(node, job);
+    amb_cancellations_drop_descriptions(node, now + span);
+    assert_null(job->spec);
+    assert_int_equal(node->jobs.described, 0);
+}
+
+/* A new leader removes what is on record of a job whose tasks are gone, and leaves what it knows nothing of.
+ */
+static void leftover_records_are_removed(void **state) {
+    (void)state;
+    for (int gone = 0; gone < 2; gone++) {
+        teardown(NULL);
+        setup(NULL);
+        strcpy(node->set.state, "S:1");
+        node->set.state_rps = node->set.state_write_rps = 1000;
+        amb_store_init(&node->store, &node->set, 1000);
+        amb_job_cancel_hint(node, "wk-1", amb_wall_ms(), 5); /* known by another node's word alone */
+        if (gone) amb_cancellations_drop_descriptions(node, amb_now() + amb_secs(2.1 * node->set.cancel_s));
+        amb_record_load(node, "b/p/wk-1/0", NULL, 7);
+        assert_int_equal(fake_calls_open("POST", "/commit"), gone);
+        if (gone) {
+            struct fake_call *call = fake_call_open("/commit");
+            assert_true(fake_txn_removes(call, "b/p/wk-1/0"));
+            assert_int_equal(fake_txn_guard(call, "b/p/wk-1/0"), 7);
+        }
+        fake_answer_all_lost();
+        fake_http_reset();
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(lists_equal_a_walk_over_all_jobs, setup, teardown),
+        cmocka_unit_test_setup_teardown(descriptions_end_with_the_last_task, setup, teardown),
+        cmocka_unit_test_setup_teardown(leftover_records_are_removed, setup, teardown),
+        cmocka_unit_test_setup_teardown(descriptions_end_after_the_leaders_care, setup, teardown),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -86,6 +86,7 @@
     (void)state;
     amb_timer_stop(&node->peers.timer);
     amb_peer_forget(node);
+    amb_cancellations_free(&node->jobs.cancellations);
     struct amb_job *j = node->jobs.all, *next;
     HASH_CLEAR(hh, node->jobs.all);
     for (; j; j = next) {
