Heartbeats leave out the cancellations that every other node has said to know

Their bulk is cancellations of the last minute, which every node has from the state service; each new one makes every kept message stale.

Change: every node, not the leader only, says in its heartbeat up to which epoch it knows all changes. It is answered with what it lacks, and heartbeats list recent cancellations only from the least of the others' epochs on; all of them while one has not said.

--- a/lib/peer.c
+++ b/lib/peer.c
@@ -63,28 +63,42 @@
     return n->peers.count && !heard;
 }
 
-/* Cancellations that are newer than `epoch` (up to which the asker knows all), or if that is 0 newer than
- * `wall` in the time of day. */
-static json_t *cancellations(const struct amb_node *n, uint64_t epoch, int64_t wall) {
-    const struct amb_cancellations *all = &n->jobs.cancellations;
-    const struct amb_cancellation_list *sorted = epoch ? &all->by_stamp : &all->by_wall;
-    json_t *list = json_array();
-    for (size_t i = amb_cancellations_after(sorted, epoch ? (int64_t)epoch : wall); i < sorted->count; i++) {
-        const struct amb_job *job = sorted->entries[i].job;
-        if (job->state != AMB_JOB_CANCELLED) continue;
-        json_array_append_new(list, json_pack("[s,I,I]", job->ref, (json_int_t)job->cancelled_wall,
-                                              (json_int_t)job->cancel_stamp));
-    }
-    return list;
+static void append_cancellation(json_t *list, const struct amb_job *job) {
+    if (job->state != AMB_JOB_CANCELLED) return;
+    json_array_append_new(
+        list, json_pack("[s,I,I]", job->ref, (json_int_t)job->cancelled_wall, (json_int_t)job->cancel_stamp));
 }
 
 static int64_t recent_span(const struct amb_node *n) {
     return (int64_t)(n->set.cancel_s * 2000);
 }
 
-/* For nodes that did not ask, so that they hear of it sooner than by news. */
-static json_t *recent_cancellations(const struct amb_node *n) {
-    return cancellations(n, 0, amb_wall_ms() - recent_span(n));
+/* Cancellations that are newer than `epoch`, up to which the asker knows all. */
+static json_t *cancellations_after_epoch(const struct amb_node *n, uint64_t epoch) {
+    const struct amb_cancellation_list *by_stamp = &n->jobs.cancellations.by_stamp;
+    json_t *list = json_array();
+    for (size_t i = amb_cancellations_after(by_stamp, (int64_t)epoch); i < by_stamp->count; i++)
+        append_cancellation(list, by_stamp->entries[i].job);
+    return list;
+}
+
+/* For nodes that did not ask, so that they hear of it sooner than by news: the recent ones, without those up
+ * to the epoch that they all know. */
+static json_t *recent_cancellations(const struct amb_node *n, uint64_t known_epoch) {
+    const struct amb_cancellation_list *by_wall = &n->jobs.cancellations.by_wall;
+    json_t *list = json_array();
+    for (size_t i = amb_cancellations_after(by_wall, amb_wall_ms() - recent_span(n)); i < by_wall->count; i++)
+        if (by_wall->entries[i].job->cancel_stamp > known_epoch)
+            append_cancellation(list, by_wall->entries[i].job);
+    return list;
+}
+
+/* All changes up to here are known to every other node, by its own word; 0: one has not said. */
+static uint64_t known_to_all_peers(const struct amb_node *n) {
+    uint64_t least = n->peers.count ? UINT64_MAX : 0;
+    for (uint32_t i = 0; i < n->peers.count; i++)
+        if (n->peers.list[i].epoch < least) least = n->peers.list[i].epoch;
+    return least;
 }
 
 /* By getters: json_unpack, which reads its format anew for each row, took most of what a heartbeat costs. */
@@ -249,7 +263,8 @@
      * and its user be told only then. */
     json_int_t epoch = json_integer_value(json_object_get(question, "epoch"));
     json_object_set_new(j, "cancelled",
-                        epoch > 0 ? cancellations(n, (uint64_t)epoch, 0) : recent_cancellations(n));
+                        epoch > 0 ? cancellations_after_epoch(n, (uint64_t)epoch)
+                                  : recent_cancellations(n, 0));
     return j;
 }
 
@@ -322,9 +337,8 @@
 }
 
 char *amb_peer_say(struct amb_node *n) {
-    if (!amb_holds_lead(n)) return strdup(say_recent(n));
     json_t *j = describe(n);
-    json_object_set_new(j, "cancelled", recent_cancellations(n));
+    json_object_set_new(j, "cancelled", recent_cancellations(n, known_to_all_peers(n)));
     json_object_set_new(j, "epoch", json_integer((json_int_t)n->jobs.epoch));
     if (amb_leads(n)) {
         json_object_set_new(j, "token_grant", json_real(amb_store_lend(&n->store)));
@@ -374,6 +388,11 @@
     }
 }
 
+static uint64_t known_epoch(const json_t *heartbeat) {
+    json_int_t epoch = json_integer_value(json_object_get(heartbeat, "epoch"));
+    return epoch > 0 ? (uint64_t)epoch : 0;
+}
+
 static void request(void *arg, struct amb_http_req *req) {
     struct amb_node *n = arg;
     if (strcmp(req->path, "/peer/heartbeat")) {
@@ -388,7 +407,10 @@
         return;
     }
     struct amb_peer *p = find_peer(n, from);
-    if (p) amb_peer_heard(n, p, j, 0);
+    if (p) {
+        amb_peer_heard(n, p, j, 0);
+        p->epoch = known_epoch(j);
+    }
     if (!amb_leads(n)) {
         double token_grant = json_number_value(json_object_get(j, "token_grant"));
         if (token_grant != 0) amb_store_lent(&n->store, token_grant);
--- a/tests/test_cancellations.c
+++ b/tests/test_cancellations.c
@@ -70,6 +70,73 @@
     }
 }
 
+/* ---- what heartbeats leave out ---- */
+
+static void heartbeat_from(const char *member, json_int_t epoch) {
+    struct fake_reply reply = {0};
+    struct amb_buf body = {0};
+    amb_buf_fmt(&body,
+                "{\"from\":\"%s\",\"loaded\":true,\"term\":0,\"leading\":false,\"store\":true,"
+                "\"reports_arrive\":false,\"cancelled\":[]%s%lld}",
+                member, epoch < 0 ? "}  " : ",\"epoch\":", (long long)epoch);
+    if (epoch < 0) body.len = (size_t)(strchr(body.data, '}') + 1 - body.data); /* it does not say */
+    fake_serve("P:1", fake_request("POST", "/peer/heartbeat", &body, &reply));
+    assert_int_equal(reply.status, 200);
+    amb_buf_free(&reply.body);
+    amb_buf_free(&body);
+}
+
+static size_t cancellations_told(void) {
+    char *text = amb_peer_say(node);
+    json_t *heartbeat = json_loads(text, 0, NULL);
+    size_t count = json_array_size(json_object_get(heartbeat, "cancelled"));
+    assert_int_equal(json_integer_value(json_object_get(heartbeat, "epoch")), node->jobs.epoch);
+    json_decref(heartbeat);
+    free(text);
+    return count;
+}
+
+static void heartbeats_leave_out_what_all_know(void **state) {
+    (void)state;
+    enum { RECENT = 1, LONG_AGO };
+    static const struct {
+        const char *what;
+        json_int_t epochs[2]; /* of the other nodes; negative: it does not say */
+        int asked_for;
+        bool told;
+    } rows[] = {
+        {"nobody has said", {-1, -1}, RECENT, true},
+        {"one has not said", {50, -1}, RECENT, true},
+        {"one has not read the state service", {50, 0}, RECENT, true},
+        {"one lacks it", {50, 39}, RECENT, true},
+        {"all have read it", {50, 40}, RECENT, false},
+        {"one knew it, and has restarted", {39, 50}, RECENT, true},
+        {"and says nothing yet", {-1, 50}, RECENT, true},
+        {"one lacks it, but it is long ago", {50, 39}, LONG_AGO, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++)
+        for (int leads = 0; leads < 2; leads++) {
+            teardown(NULL);
+            setup(NULL);
+            if (!leads) node->election.role = AMB_ROLE_FOLLOWING;
+            strcpy(node->set.peer_listen, "P:1");
+            node->set.npeers = 2;
+            strcpy(node->set.peers[0].member, "n1");
+            strcpy(node->set.peers[1].member, "n2");
+            amb_peer_init(node);
+            node->jobs.epoch = 60;
+            int64_t ago = rows[i].asked_for == RECENT ? 1000 : 600000;
+            amb_job_cancel_hint(node, "wk-1", amb_wall_ms() - ago, 40);
+            heartbeat_from("n1", 70); /* the last word counts */
+            heartbeat_from("n1", rows[i].epochs[0]);
+            heartbeat_from("n2", rows[i].epochs[1]);
+            if (cancellations_told() != rows[i].told) fail_msg("%s, leads %d", rows[i].what, leads);
+            amb_timer_stop(&node->peers.timer);
+            fake_answer_all_lost();
+            fake_http_reset();
+        }
+}
+
 /* ---- descriptions ---- */
 
 static void descriptions_end_with_the_last_task(void **state) {
@@ -141,6 +208,7 @@
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test_setup_teardown(lists_equal_a_walk_over_all_jobs, setup, teardown),
+        cmocka_unit_test_setup_teardown(heartbeats_leave_out_what_all_know, setup, teardown),
         cmocka_unit_test_setup_teardown(descriptions_end_with_the_last_task, setup, teardown),
         cmocka_unit_test_setup_teardown(leftover_records_are_removed, setup, teardown),
         cmocka_unit_test_setup_teardown(descriptions_end_after_the_leaders_care, setup, teardown),
