--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -145,7 +145,7 @@
 };
 
 struct amb_peer_facts { /* what a node says of itself in every message, beside cancellations */
-    uint64_t term, epoch;
+    uint64_t term;
     bool loaded, leading, store_ok, reports_arrive;
 };
 
@@ -162,8 +162,7 @@
     uint64_t quiet_term;           /* the last term of ours that it has heeded, and since when */
     amb_ms quiet_at;
     uint64_t term;
-    uint64_t epoch;     /* up to which it knows all changes, by its last word; 0: it has not said */
-    amb_ms answered_at; /* when we last answered a heartbeat of it */
+    uint64_t epoch; /* up to which it knows all changes, by its last heartbeat; 0: it has not said */
     bool leading, store_ok, reports_arrive, busy;
     amb_ms sent_at;
     struct amb_peer_message heartbeat, answer; /* its last of each */
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -117,7 +117,6 @@
     amb_ms now = amb_now();
     return (struct amb_peer_facts){
         .term = amb_leads(n) ? n->election.term : n->election.highest,
-        .epoch = n->jobs.epoch,
         .loaded = n->jobs.loaded,
         .leading = amb_leads(n),
         .store_ok = own_store_ok(n, now),
@@ -129,9 +128,9 @@
  * earlier self of it can have told a user of. */
 static json_t *describe(struct amb_node *n) {
     struct amb_peer_facts f = own_facts(n);
-    return json_pack("{s:s, s:b, s:I, s:b, s:b, s:b, s:I}", "from", n->set.member, "loaded", f.loaded, "term",
+    return json_pack("{s:s, s:b, s:I, s:b, s:b, s:b}", "from", n->set.member, "loaded", f.loaded, "term",
                      (json_int_t)f.term, "leading", f.leading, "store", f.store_ok, "reports_arrive",
-                     f.reports_arrive, "epoch", (json_int_t)f.epoch);
+                     f.reports_arrive);
 }
 
 void amb_peer_heard(struct amb_node *n, struct amb_peer *p, const json_t *said, amb_ms sent_at) {
@@ -202,20 +201,12 @@
     return parsed;
 }
 
-static uint64_t known_epoch(const json_t *message) {
-    json_int_t epoch = json_integer_value(json_object_get(message, "epoch"));
-    return epoch > 0 ? (uint64_t)epoch : 0;
-}
-
 static void heartbeat_answered(void *arg, int status, const char *body, size_t len) {
     struct amb_peer *p = arg;
     p->busy = false;
     if (status != 200) return;
     json_t *j = read_answer(p, body, len);
-    if (j) {
-        amb_peer_heard(p->node, p, j, p->sent_at);
-        p->epoch = known_epoch(j);
-    }
+    if (j) amb_peer_heard(p->node, p, j, p->sent_at);
     json_decref(j);
 }
 
@@ -286,7 +277,7 @@
 }
 
 static bool same_facts(const struct amb_peer_facts *a, const struct amb_peer_facts *b) {
-    return a->term == b->term && a->epoch == b->epoch && a->loaded == b->loaded && a->leading == b->leading &&
+    return a->term == b->term && a->loaded == b->loaded && a->leading == b->leading &&
            a->store_ok == b->store_ok && a->reports_arrive == b->reports_arrive;
 }
 
@@ -348,6 +339,7 @@
 char *amb_peer_say(struct amb_node *n) {
     json_t *j = describe(n);
     json_object_set_new(j, "cancelled", recent_cancellations(n, known_to_all_peers(n)));
+    json_object_set_new(j, "epoch", json_integer((json_int_t)n->jobs.epoch));
     if (amb_leads(n)) {
         json_object_set_new(j, "token_grant", json_real(amb_store_lend(&n->store)));
         json_object_set_new(j, "jobs", progress(n));
@@ -356,27 +348,16 @@
     return as_text(j);
 }
 
-static amb_ms heartbeat_period(const struct amb_node *n) {
-    return (amb_ms)(n->set.report_s * 500);
-}
-
-/* Between nodes that do not lead one heartbeat says it all, its answer being the other's. The leader asks, and
- * is to hear of cancellations as soon as can be. */
-static bool needs_heartbeat(const struct amb_node *n, const struct amb_peer *p, amb_ms now) {
-    return amb_holds_lead(n) || p->leading || now - p->answered_at >= heartbeat_period(n);
-}
-
 static void heartbeat(void *arg) {
     struct amb_node *n = arg;
     amb_ms now = amb_now();
-    amb_timer_in(&n->peers.timer, heartbeat_period(n), heartbeat, n);
+    amb_timer_in(&n->peers.timer, (amb_ms)(n->set.report_s * 500), heartbeat, n);
     char *text = amb_peer_say(n);
     size_t len = strlen(text);
     bool all = true;
     amb_debug("heartbeat: %zu bytes", len);
     for (uint32_t i = 0; i < n->peers.count; i++) {
         struct amb_peer *p = &n->peers.list[i];
-        if (!needs_heartbeat(n, p, now)) continue;
         if (p->busy) {
             all = false;
             continue;
@@ -407,6 +388,11 @@
     }
 }
 
+static uint64_t known_epoch(const json_t *heartbeat) {
+    json_int_t epoch = json_integer_value(json_object_get(heartbeat, "epoch"));
+    return epoch > 0 ? (uint64_t)epoch : 0;
+}
+
 static void request(void *arg, struct amb_http_req *req) {
     struct amb_node *n = arg;
     if (strcmp(req->path, "/peer/heartbeat")) {
@@ -424,7 +410,6 @@
     if (p) {
         amb_peer_heard(n, p, j, 0);
         p->epoch = known_epoch(j);
-        p->answered_at = amb_now();
     }
     if (!amb_leads(n)) {
         double token_grant = json_number_value(json_object_get(j, "token_grant"));
