--- a/include/amberpin/round.h
+++ b/include/amberpin/round.h
@@ -23,6 +23,16 @@
     bool by_gpus;
 };
 
+struct amb_mark { /* of a slot, as in struct amb_slot */
+    bool has_image;
+    double late;
+};
+
+struct amb_marks { /* of the first slots */
+    struct amb_mark *list;
+    uint32_t count;
+};
+
 /* On what grounds a job may have other work stopped. */
 struct amb_claim {
     enum amb_priority priority;
@@ -41,7 +51,13 @@
 bool amb_round_can_wait(const struct amb_node *n, const struct amb_job *j);
 const struct amb_objective *amb_round_wait_objective(const struct amb_node *n, const struct amb_spec *s);
 void amb_round_wish(struct amb_round *r, struct amb_job *j, struct amb_wish *w);
+/* Marks where the image is, and what fetching it elsewhere means for a start in time (or, when nobody waits
+ * for its start, takes of what the task runs for). */
 void amb_round_mark(struct amb_round *r, const struct amb_spec *spec, const char *image);
+/* The same, from marks that were made for this specification and image: empty, or made by this function since
+ * when slots have been added and room has been taken, and nothing else. The caller frees the list. */
+void amb_round_mark_again(struct amb_round *r, const struct amb_spec *spec, const char *image,
+                          struct amb_marks *marks);
 bool amb_round_place_gang(struct amb_round *r, struct amb_job *j, int *where, bool soon);
 struct amb_claim amb_round_claim(const struct amb_spec *s, const struct amb_team *team);
 bool amb_round_makes_way(const struct amb_task *t, const struct amb_claim *c);
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -247,9 +247,10 @@
             .need = d->last.each, .type_mask = mask, .zone = -1, .spot = d->last.spot, .zone_used = none};
         /* Rented after what urgent work waits for, before what batch work does. */
         w.priority = d->last.priority < AMB_NORMAL ? d->last.priority : AMB_NORMAL;
+        struct amb_marks marks[AMB_DEMAND_IMAGES] = {0}; /* by image */
         for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < PLAN_TASKS; k++) {
-            amb_round_mark(r, &d->last,
-                           d->images[k % d->nimages]); /* a share of the room for each image asked for */
+            uint32_t image = k % d->nimages; /* a share of the room for each image asked for */
+            amb_round_mark_again(r, &d->last, d->images[image], &marks[image]);
             struct amb_slot *s = headroom_slot(r, &w, &claim);
             if (!s) s = rent_for(p, &w, (uint32_t)ceil(count) - k, false);
             if (!s) break;
@@ -257,6 +258,7 @@
             s->planned++;
             if (s->machine) s->machine->kept_for = (int)d->last.priority;
         }
+        for (uint32_t i = 0; i < AMB_DEMAND_IMAGES; i++) free(marks[i].list);
     }
 }
 
--- a/lib/round.c
+++ b/lib/round.c
@@ -231,21 +231,52 @@
     return false;
 }
 
-/* Marks where the image is, and what fetching it elsewhere means for a start in time (or, when nobody waits
- * for its start, takes of what the task runs for). */
-void amb_round_mark(struct amb_round *r, const struct amb_spec *spec, const char *image) {
+/* The time in which a task of this kind is to start, or when nobody waits for its start the time that it runs
+ * for; and what order and report take of it (negative: nobody waits). */
+struct start_time {
+    double within_s, slack_s;
+};
+
+static struct start_time start_time(const struct amb_round *r, const struct amb_spec *spec) {
     const struct amb_objective *o = amb_round_wait_objective(r->n, spec);
     double within = o ? o->within_s : spec->estimate_s > 0 ? spec->estimate_s : r->n->set.lease_s;
-    /* What order and report take; where reports are slow, no more than they do on the average. */
-    double slack = o ? fmin(r->n->set.report_s * 1.2, within * 0.2) : -1;
-    for (uint32_t i = 0; i < r->nslots; i++) {
-        struct amb_slot *s = &r->slots[i];
-        double rate = r->n->catalog.types[s->type].fetch_gb_s;
-        s->has_image = s->machine && amb_machine_has_image(s->machine, image);
-        double gb = s->fetching_gb + spec->image_gb;
-        if (s->has_image) gb = s->fetching_gb > 0 && on_its_way(s->machine, image) ? s->fetching_gb : 0;
-        s->late = rate > 0 ? amb_place_late(gb / rate, within, slack) : 0;
+    /* Where reports are slow, no more than they do on the average. */
+    return (struct start_time){within, o ? fmin(r->n->set.report_s * 1.2, within * 0.2) : -1};
+}
+
+static void mark_slot(const struct amb_round *r, struct amb_slot *s, double image_gb, const char *image,
+                      struct start_time start) {
+    double rate = r->n->catalog.types[s->type].fetch_gb_s;
+    s->has_image = s->machine && amb_machine_has_image(s->machine, image);
+    double gb = s->fetching_gb + image_gb;
+    if (s->has_image) gb = s->fetching_gb > 0 && on_its_way(s->machine, image) ? s->fetching_gb : 0;
+    s->late = rate > 0 ? amb_place_late(gb / rate, start.within_s, start.slack_s) : 0;
+}
+
+void amb_round_mark(struct amb_round *r, const struct amb_spec *spec, const char *image) {
+    struct start_time start = start_time(r, spec);
+    for (uint32_t i = 0; i < r->nslots; i++) mark_slot(r, &r->slots[i], spec->image_gb, image, start);
+}
+
+static void keep_marks(const struct amb_round *r, struct amb_marks *marks) {
+    if (marks->count == r->nslots) return;
+    marks->list = amb_grow(marks->list, r->nslots * sizeof *marks->list);
+    for (; marks->count < r->nslots; marks->count++) {
+        const struct amb_slot *s = &r->slots[marks->count];
+        marks->list[marks->count] = (struct amb_mark){s->has_image, s->late};
+    }
+}
+
+void amb_round_mark_again(struct amb_round *r, const struct amb_spec *spec, const char *image,
+                          struct amb_marks *marks) {
+    struct start_time start = start_time(r, spec);
+    for (uint32_t i = 0; i < marks->count; i++) {
+        r->slots[i].has_image = marks->list[i].has_image;
+        r->slots[i].late = marks->list[i].late;
     }
+    for (uint32_t i = marks->count; i < r->nslots; i++)
+        mark_slot(r, &r->slots[i], spec->image_gb, image, start);
+    keep_marks(r, marks);
 }
 
 /* ---- admission ---- */
