--- a/include/amberpin/http.h
+++ b/include/amberpin/http.h
@@ -29,6 +29,8 @@
     char path[512];
     char *body;
     size_t body_len;
+    amb_ms arrived_at; /* when it was read; only while the debug log is on */
+    bool kept;         /* its answer was kept until there was something to say */
 };
 
 struct amb_server;
--- a/lib/election.c
+++ b/lib/election.c
@@ -238,8 +238,12 @@
 
 static void tick(void *arg) {
     struct amb_node *n = arg;
+    amb_ms now = amb_now(), due = n->election_timer.at;
+    bool renewed_before = n->election.renewing;
     amb_timer_in(&n->election_timer, n->election.ttl / TICKS_PER_LEASE, tick, n);
-    amb_election_tick(n, amb_now());
+    amb_election_tick(n, now);
+    if (!renewed_before && n->election.renewing) /* bench/waits.c reads this line */
+        amb_debug("election: lease renewal sent %lld ms after it was due", (long long)(amb_now() - due));
 }
 
 void amb_election_ready(struct amb_node *n) {
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -484,6 +484,7 @@
     h->node = n;
     h->machine = m;
     h->req = req;
+    req->kept = true;
     m->held = h;
     amb_timer_in(&h->timer, amb_secs(HOLD * (n->set.report_s < DROPPED_S ? n->set.report_s : DROPPED_S)),
                  answer_held, h);
--- a/lib/http.c
+++ b/lib/http.c
@@ -272,6 +272,7 @@
         struct amb_http_req *req = amb_alloc(sizeof *req);
         req->conn = c;
         c->req = req;
+        if (amb_log_on(AMB_DEBUG)) req->arrived_at = amb_now();
         c->close_after = m.close;
         memcpy(req->method, m.method, sizeof req->method);
         size_t pn = m.path_len < sizeof req->path ? m.path_len : sizeof req->path - 1;
@@ -303,9 +304,16 @@
     if (c->state == CONN_READING) conn_advance(c);
 }
 
+/* bench/waits.c reads these lines. */
+static void log_answer(const struct amb_http_req *req, int status) {
+    amb_debug("request %s %s: %d after %lld ms%s", req->method, req->path, status,
+              (long long)(amb_now() - req->arrived_at), req->kept ? ", kept" : "");
+}
+
 void amb_http_reply(struct amb_http_req *req, int status, const char *type, const void *body, size_t len,
                     int retry_after_s) {
     struct amb_conn *c = req->conn;
+    if (amb_log_on(AMB_DEBUG)) log_answer(req, status);
     free(req->body);
     free(req);
     if (!c) return;
