--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -165,6 +165,7 @@
     amb_ms quiet_at;
     uint64_t term;
     enum amb_format format; /* its last word */
+    uint64_t epoch;         /* up to which it knows all changes, by its last heartbeat; 0: it has not said */
     bool leading, store_ok, reports_arrive, busy;
     amb_ms sent_at;
     struct amb_peer_message heartbeat, answer; /* its last of each */
@@ -175,7 +176,6 @@
     struct json_t *images; /* by machine, as the leader last said: what its cache is thought to hold */
     /* With the cancellations of late; and with none, for a leader that knows of all. */
     struct amb_peer_saying recent, nothing_newer;
-    uint64_t newest_cancel_stamp, newest_cancel_count; /* of all known when there were so many */
     uint32_t heartbeats;
     uint32_t count;
     struct amb_peer list[AMB_PEERS];
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -149,6 +149,7 @@
     amb_rental_tick(n, now);
     amb_deputy_tick(n, now);
     amb_format_tick(n, now);
+    amb_cancellations_drop_descriptions(n, now);
     if (!amb_leads(n)) return;
     if (c->loading) load_tick(n, now);
     amb_jobs_take_left_out(n);
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -53,21 +53,26 @@
     if (job->spec->kind == AMB_GANG) amb_gang_state(job, AMB_GANG_TEARING, cause);
 }
 
-void amb_job_forget_spec(struct amb_job *job) {
+void amb_job_free_spec(struct amb_job *job) {
     free(job->spec);
     free(job->awaits);
     job->spec = NULL;
     job->awaits = NULL;
 }
 
+void amb_job_drop_spec(struct amb_node *node, struct amb_job *job) {
+    if (job->spec) node->jobs.described--;
+    amb_job_free_spec(job);
+}
+
 /* True if this is news. Jobs that await it are not told. */
 static bool change_state(struct amb_node *node, struct amb_job *job, enum amb_job_state to) {
-    if (to == AMB_JOB_CANCELLED) node->jobs.cancellations++;
+    if (to == AMB_JOB_CANCELLED) amb_cancellation_note(node, job);
     if (job->state == to) return false;
     amb_info("job %s: %s -> %s", job->ref, amb_codec_job_state(job->state, false),
              amb_codec_job_state(to, false));
     job->state = to;
-    if (to == AMB_JOB_DONE && !job->live) amb_job_forget_spec(job);
+    if (to == AMB_JOB_DONE && !job->live) amb_job_drop_spec(node, job);
     if (to == AMB_JOB_CANCELLED && job->live) {
         stop_tasks(node, job, "its job is cancelled");
         amb_controller_wake(node);
@@ -98,6 +103,7 @@
     if (amb_codec_spec(described, spec) == AMB_PARSE_OK &&
         amb_codec_awaits(described, &job->awaits) == AMB_PARSE_OK) {
         job->spec = spec;
+        node->jobs.described++;
         job->team = amb_settings_team(&node->set, spec->team);
     } else {
         amb_error("job %s: its record can't be read", job->ref);
@@ -124,7 +130,7 @@
     if (amb_cbor_uint(amb_cbor_get(value, "a"), &number)) job->accepted_wall = (int64_t)number;
     if (amb_cbor_uint(amb_cbor_get(value, "c"), &number)) job->cancelled_wall = (int64_t)number;
     if (amb_cbor_uint(amb_cbor_get(value, "n"), &number)) job->shown_done = (uint32_t)number;
-    if (!job->spec && to != AMB_JOB_DONE) read_spec(node, job, value);
+    if (!job->spec && !job->tasks_gone && to != AMB_JOB_DONE) read_spec(node, job, value);
     if (to == AMB_JOB_CANCELLED) job->cancel_stamp = stamp;
     /* Another node's word may come before the news of the job: a cancellation is final. (One that is derived
      * from another job's may bear an older stamp than the job itself.) */
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -63,26 +63,42 @@
     return n->peers.count && !heard;
 }
 
-/* A cancellation is listed if it is newer than `epoch` (up to which the asker knows all), or newer than
- * `wall` in the time of day; 0: not by this measure. */
-static json_t *cancellations(const struct amb_node *n, uint64_t epoch, int64_t wall) {
-    json_t *list = json_array();
-    for (const struct amb_job *j = n->jobs.all; j; j = j->hh.next) {
-        bool newer = (epoch && j->cancel_stamp > epoch) || (wall && j->cancelled_wall > wall);
-        if (j->state == AMB_JOB_CANCELLED && newer)
-            json_array_append_new(list, json_pack("[s,I,I]", j->ref, (json_int_t)j->cancelled_wall,
-                                                  (json_int_t)j->cancel_stamp));
-    }
-    return list;
+static void append_cancellation(json_t *list, const struct amb_job *job) {
+    if (job->state != AMB_JOB_CANCELLED) return;
+    json_array_append_new(
+        list, json_pack("[s,I,I]", job->ref, (json_int_t)job->cancelled_wall, (json_int_t)job->cancel_stamp));
 }
 
 static int64_t recent_span(const struct amb_node *n) {
     return (int64_t)(n->set.cancel_s * 2000);
 }
 
-/* For nodes that did not ask, so that they hear of it sooner than by news. */
-static json_t *recent_cancellations(const struct amb_node *n) {
-    return cancellations(n, 0, amb_wall_ms() - recent_span(n));
+/* Cancellations that are newer than `epoch`, up to which the asker knows all. */
+static json_t *cancellations_after_epoch(const struct amb_node *n, uint64_t epoch) {
+    const struct amb_cancellation_list *by_stamp = &n->jobs.cancellations.by_stamp;
+    json_t *list = json_array();
+    for (size_t i = amb_cancellations_after(by_stamp, (int64_t)epoch); i < by_stamp->count; i++)
+        append_cancellation(list, by_stamp->entries[i].job);
+    return list;
+}
+
+/* For nodes that did not ask, so that they hear of it sooner than by news: the recent ones, without those up
+ * to the epoch that they all know. */
+static json_t *recent_cancellations(const struct amb_node *n, uint64_t known_epoch) {
+    const struct amb_cancellation_list *by_wall = &n->jobs.cancellations.by_wall;
+    json_t *list = json_array();
+    for (size_t i = amb_cancellations_after(by_wall, amb_wall_ms() - recent_span(n)); i < by_wall->count; i++)
+        if (by_wall->entries[i].job->cancel_stamp > known_epoch)
+            append_cancellation(list, by_wall->entries[i].job);
+    return list;
+}
+
+/* All changes up to here are known to every other node, by its own word; 0: one has not said. */
+static uint64_t known_to_all_peers(const struct amb_node *n) {
+    uint64_t least = n->peers.count ? UINT64_MAX : 0;
+    for (uint32_t i = 0; i < n->peers.count; i++)
+        if (n->peers.list[i].epoch < least) least = n->peers.list[i].epoch;
+    return least;
 }
 
 /* By getters: json_unpack, which reads its format anew for each row, took most of what a heartbeat costs. */
@@ -258,7 +274,8 @@
      * and its user be told only then. */
     json_int_t epoch = json_integer_value(json_object_get(question, "epoch"));
     json_object_set_new(j, "cancelled",
-                        epoch > 0 ? cancellations(n, (uint64_t)epoch, 0) : recent_cancellations(n));
+                        epoch > 0 ? cancellations_after_epoch(n, (uint64_t)epoch)
+                                  : recent_cancellations(n, 0));
     return j;
 }
 
@@ -278,25 +295,22 @@
 static bool still_says(const struct amb_node *n, const struct amb_peer_saying *s) {
     struct amb_peer_facts facts = own_facts(n);
     int64_t wall = amb_wall_ms();
-    return s->text && s->cancellations == n->jobs.cancellations && wall >= s->made_at && wall < s->stale_at &&
-           same_facts(&s->facts, &facts);
+    return s->text && s->cancellations == n->jobs.cancellations.changes && wall >= s->made_at &&
+           wall < s->stale_at && same_facts(&s->facts, &facts);
 }
 
 /* When the first of the cancellations that are recent now will not be so any more. */
 static int64_t recent_until(const struct amb_node *n) {
-    int64_t since = amb_wall_ms() - recent_span(n), until = INT64_MAX;
-    for (const struct amb_job *j = n->jobs.all; j; j = j->hh.next)
-        if (j->state == AMB_JOB_CANCELLED && j->cancelled_wall > since &&
-            j->cancelled_wall + recent_span(n) < until)
-            until = j->cancelled_wall + recent_span(n);
-    return until;
+    const struct amb_cancellation_list *by_wall = &n->jobs.cancellations.by_wall;
+    size_t first = amb_cancellations_after(by_wall, amb_wall_ms() - recent_span(n));
+    return first < by_wall->count ? by_wall->entries[first].key + recent_span(n) : INT64_MAX;
 }
 
 static void keep_saying(struct amb_node *n, struct amb_peer_saying *s, char *text, int64_t stale_at) {
     free(s->text);
     s->text = text;
     s->facts = own_facts(n);
-    s->cancellations = n->jobs.cancellations;
+    s->cancellations = n->jobs.cancellations.changes;
     s->made_at = amb_wall_ms();
     s->stale_at = stale_at;
 }
@@ -314,15 +328,9 @@
     return s->text;
 }
 
-static uint64_t newest_cancel_stamp(struct amb_node *n) {
-    struct amb_peers *p = &n->peers;
-    if (p->newest_cancel_count == n->jobs.cancellations) return p->newest_cancel_stamp;
-    p->newest_cancel_count = n->jobs.cancellations;
-    p->newest_cancel_stamp = 0;
-    for (const struct amb_job *j = n->jobs.all; j; j = j->hh.next)
-        if (j->state == AMB_JOB_CANCELLED && j->cancel_stamp > p->newest_cancel_stamp)
-            p->newest_cancel_stamp = j->cancel_stamp;
-    return p->newest_cancel_stamp;
+static uint64_t newest_cancel_stamp(const struct amb_node *n) {
+    const struct amb_cancellation_list *by_stamp = &n->jobs.cancellations.by_stamp;
+    return by_stamp->count ? (uint64_t)by_stamp->entries[by_stamp->count - 1].key : 0;
 }
 
 static void answer_heartbeat(struct amb_node *n, struct amb_http_req *req, const json_t *question) {
@@ -340,9 +348,8 @@
 }
 
 char *amb_peer_say(struct amb_node *n) {
-    if (!amb_holds_lead(n)) return strdup(say_recent(n));
     json_t *j = describe(n);
-    json_object_set_new(j, "cancelled", recent_cancellations(n));
+    json_object_set_new(j, "cancelled", recent_cancellations(n, known_to_all_peers(n)));
     json_object_set_new(j, "epoch", json_integer((json_int_t)n->jobs.epoch));
     if (amb_leads(n)) {
         json_object_set_new(j, "token_grant", json_real(amb_store_lend(&n->store)));
@@ -392,6 +399,11 @@
     }
 }
 
+static uint64_t known_epoch(const json_t *heartbeat) {
+    json_int_t epoch = json_integer_value(json_object_get(heartbeat, "epoch"));
+    return epoch > 0 ? (uint64_t)epoch : 0;
+}
+
 static void request(void *arg, struct amb_http_req *req) {
     struct amb_node *n = arg;
     if (strcmp(req->path, "/peer/heartbeat")) {
@@ -406,7 +418,10 @@
         return;
     }
     struct amb_peer *p = find_peer(n, from);
-    if (p) amb_peer_heard(n, p, j, 0);
+    if (p) {
+        amb_peer_heard(n, p, j, 0);
+        p->epoch = known_epoch(j);
+    }
     if (!amb_leads(n)) {
         double token_grant = json_number_value(json_object_get(j, "token_grant"));
         if (token_grant != 0) amb_store_lent(&n->store, token_grant);
--- a/lib/user_api.c
+++ b/lib/user_api.c
@@ -4,6 +4,7 @@
 
 #include "amberpin/admission.h"
 #include "amberpin/log.h"
+#include "amberpin/memory.h"
 #include "amberpin/node.h"
 
 #include <stdio.h>
@@ -23,7 +24,7 @@
 };
 
 static void request_free(struct user_request *request) {
-    if (request->draft) amb_job_forget_spec(request->draft);
+    if (request->draft) amb_job_free_spec(request->draft);
     free(request->draft);
     free(request);
 }
@@ -171,7 +172,7 @@
     draft->spec = amb_alloc(sizeof *draft->spec);
     if (amb_codec_spec(body, draft->spec) != AMB_PARSE_OK ||
         amb_codec_awaits(body, &draft->awaits) != AMB_PARSE_OK)
-        amb_job_forget_spec(draft);
+        amb_job_free_spec(draft);
     if (!amb_cbor_str(amb_cbor_get(body, "ref"), request->ref, sizeof request->ref)) request->ref[0] = 0;
     strcpy(draft->ref, request->ref);
     if (body) cbor_decref(&body);
@@ -197,7 +198,7 @@
             reply_status(request, admission == AMB_MALFORMED ? 400 : 422);
         else
             wait_for_fresh_read(request);
-    } else if (admission == AMB_UNDECIDED ||
+    } else if (admission == AMB_UNDECIDED || !amb_memory_holds(node, request->draft->spec) ||
                !amb_store_can_write(&node->store, 1, kept_for_others(request->draft->spec))) {
         reply_status(request, 503);
     } else {
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -9,6 +9,7 @@
     struct amb_job *j = amb_alloc(sizeof *j);
     strcpy(j->ref, ref);
     j->spec = amb_alloc(sizeof *j->spec);
+    node->jobs.described++;
     strcpy(j->spec->ref, ref);
     strcpy(j->spec->image, "img");
     j->spec->kind = kind;
@@ -57,7 +58,7 @@
     HASH_ITER(hh, node->jobs.all, j, next) {
         /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the head moves in HASH_DEL */
         HASH_DEL(node->jobs.all, j);
-        amb_job_forget_spec(j);
+        amb_job_free_spec(j);
         free(j);
     }
     struct amb_gone *g, *gn;
@@ -68,6 +69,7 @@
     }
     amb_pipelines_clear(node);
     amb_peer_forget(node);
+    amb_cancellations_free(&node->jobs.cancellations);
     free(node);
     return 0;
 }
--- a/tests/standin/node_side.c
+++ b/tests/standin/node_side.c
@@ -3,8 +3,12 @@
 #include "node_side.h"
 
 #include "amberpin/log.h"
+#ifndef AMB_PRODUCTION_SIDE
+#include "amberpin/memory.h"
+#endif
 #include "amberpin/node.h"
 
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -59,7 +63,7 @@
     set->cloud_rps = from->cloud_rps;
     set->list_lag_s = from->list_lag_s;
     set->cores = 0.1;
-    set->memory_mb = 40;
+    set->memory_mb = from->memory_mb;
     set->fd_limit = 500;
 }
 
@@ -79,7 +83,38 @@
     return amb_leads(node);
 }
 
+#ifdef AMB_PRODUCTION_SIDE /* its table knows no bound */
+static size_t job_table_used(const void *node) {
+    (void)node;
+    return 0;
+}
+
+static size_t job_table_most(const void *node) {
+    (void)node;
+    return SIZE_MAX;
+}
+
+static bool job_table_has_room(const void *node) {
+    (void)node;
+    return true;
+}
+#else
+static size_t job_table_used(const void *node) {
+    return amb_memory_job_table_used(node);
+}
+
+static size_t job_table_most(const void *node) {
+    return amb_memory_job_table(&((const struct amb_node *)node)->set);
+}
+
+static bool job_table_has_room(const void *node) {
+    static const struct amb_spec small = {.tasks = 1};
+    return amb_memory_holds(node, &small);
+}
+#endif
+
 const struct sim_node_side *SIM_SIDE(void) {
-    static const struct sim_node_side side = {start, leads};
+    static const struct sim_node_side side = {start, leads, job_table_used, job_table_most,
+                                              job_table_has_room};
     return &side;
 }
--- a/tests/standin/node_side.h
+++ b/tests/standin/node_side.h
@@ -5,6 +5,7 @@
 #define AMBERPIN_TESTS_NODE_SIDE_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
 struct sim_node_settings {
     int index, nodes;
@@ -12,13 +13,19 @@
     int teams, team_limit;
     double report_s, lease_s, cancel_s, gang_wait_s, list_lag_s;
     double state_rps, cloud_rps;
-    double write_rps, value_kb, txn_ops;                /* of the state service, now */
+    double write_rps, value_kb, txn_ops; /* of the state service, now */
+    double memory_mb;
     double next_write_rps, next_value_kb, next_txn_ops; /* and once it has lowered its limits */
 };
 
 struct sim_node_side {
     void *(*start)(const struct sim_node_settings *settings); /* a node, which lives until the process ends */
     bool (*leads)(const void *node);
+    /* Of its table of all jobs: bytes in use, those that it may take, and whether a small job more has room.
+     */
+    size_t (*job_table_used)(const void *node);
+    size_t (*job_table_most)(const void *node);
+    bool (*job_table_has_room)(const void *node);
 };
 
 const struct sim_node_side *sim_present_side(void);
--- a/tests/standin/nodes.c
+++ b/tests/standin/nodes.c
@@ -27,6 +27,7 @@
         .write_rps = size->writes,
         .value_kb = SIM_VALUE_BYTES / 1024.0,
         .txn_ops = SIM_TXN_OPS,
+        .memory_mb = world.memory_mb,
         .next_write_rps = size->writes * sim_next_writes_share,
         .next_value_kb = SIM_NEXT_VALUE_BYTES / 1024.0,
         .next_txn_ops = SIM_NEXT_TXN_OPS,
--- a/tests/standin/rules.c
+++ b/tests/standin/rules.c
@@ -1,4 +1,5 @@
 /* The protocol's rules, checked at every start, answer and tick. */
+#include "node_side.h"
 #include "world.h"
 
 #include "amberpin/place.h"
@@ -20,6 +21,30 @@
     snprintf(world.result.broken, sizeof world.result.broken, "at %lld ms: %s", (long long)world.now, text);
 }
 
+static bool is_submission(const struct amb_http_req *req) {
+    return !strcmp(req->method, "POST") && !strcmp(req->path, "/v1/jobs");
+}
+
+void sim_check_reply(const struct sim_node *node, const struct amb_http_req *req, int status,
+                     int retry_after_s) {
+    if (status == 503 && !retry_after_s && strcmp(req->path, "/healthz"))
+        sim_broken("a 503 without Retry-After for %s", req->path);
+    if (status == 503 && is_submission(req) && !node->side->job_table_has_room(node->node))
+        world.result.refused_for_memory++;
+}
+
+/* Nodes hear of what others accept a moment later: by then a tenth of a second's writes may have been
+ * accepted beyond the share. */
+static void check_memory(const struct sim_node *node) {
+    size_t used = node->side->job_table_used(node->node);
+    size_t most = node->side->job_table_most(node->node);
+    size_t accepted_at_once =
+        (size_t)world.size->writes / 10 * (sizeof(struct amb_job) + sizeof(struct amb_spec));
+    if (used > world.result.job_table_most) world.result.job_table_most = used;
+    if (used > accepted_at_once && used - accepted_at_once > most)
+        sim_broken("memory: n%d holds %zu bytes of jobs", (int)(node - world.nodes), used);
+}
+
 /* Tasks on other machines, as a start finds them. */
 struct crowd {
     uint32_t in_zone[2]; /* of the same job */
@@ -298,6 +323,8 @@
         check_waiting(&survey, &world.jobs[i]);
         check_answered(&world.jobs[i]);
     }
+    for (int i = 0; i < world.size->nodes; i++)
+        if (world.nodes[i].alive) check_memory(&world.nodes[i]);
 }
 
 void sim_check_end(void) {
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -76,6 +76,7 @@
     SIM_LOAD_CROWDED = 16, /* more work than room, urgent and not, and limits that don't bind */
     SIM_LOAD_ALL_FIELDS = 64, /* jobs that use every field that a submission may have */
     SIM_LOAD_PIPELINES = 32,  /* jobs that await others, some cancelled on the way; jobs of many tasks */
+    SIM_LOAD_FLOOD = 128,     /* jobs of one short task, far more at a time than can run */
 };
 
 /* A day: everything in it follows from these. */
@@ -104,11 +105,15 @@
     uint32_t size_refusals;        /* transactions beyond the limits of the state service's lowered sizes */
     uint32_t rate_refusals;        /* changes beyond its rate */
     amb_ms upgraded_at;            /* when all nodes were of the present version; of the day */
+    uint32_t refused_for_memory;   /* submissions answered 503 by a node without room for a job more */
+    size_t job_table_most;         /* bytes, the most that a node's table of jobs took */
     char broken[256];              /* the first rule broken; empty: none */
 };
 
 struct sim_result sim_play(const struct sim_plan *plan);
 bool sim_production_at_hand(void); /* can a day with SIM_UPGRADE be played? */
+/* With as much memory for each node; sim_play gives them ample. */
+struct sim_result sim_play_with_memory(const struct sim_plan *plan, double memory_mb);
 
 /* Plays an ordinary day of `length` with jobs and small luck drawn from the seed. */
 struct sim_result sim_day(const struct sim_size *size, uint64_t seed, amb_ms length,
