--- /dev/null
+++ b/tests/test_production_form.c
@@ -0,0 +1,440 @@
+/* What the production version writes and says (tests/data/production), played both ways: the present version
+ * reads each sample, and writes the same again; and what the present version writes and says while an old
+ * node lives is of the same form, field by field. */
+#include "check.h"
+#include "json_cbor.h"
+#include "named_tests.h"
+#include "node_fixture.h"
+#include "recorder.h"
+#include "world.h"
+
+#include "amberpin/log.h"
+
+#include <stdio.h>
+
+enum { PATH_MOST = 512, RECORDED_VALUE_KB = 2, JOB_TASKS = SIM_JOB_TASKS, NEVER_MS = 10000000 };
+
+static json_t *load_samples(enum sim_sample_kind kind) {
+    char path[PATH_MOST];
+    json_error_t error;
+    snprintf(path, sizeof path, "tests/data/production/%s.json", sim_sample_names[kind]);
+    json_t *list = json_load_file(path, 0, &error);
+    if (!list) fail_msg("%s: %s", path, error.text);
+    if (!json_array_size(list)) fail_msg("%s: no samples", path);
+    return list;
+}
+
+static cbor_item_t *value_of(const json_t *sample) {
+    struct amb_buf bytes = {0};
+    cbor_from_json(&bytes, json_object_get(sample, "value"));
+    cbor_item_t *value = amb_cbor_parse(bytes.data, bytes.len);
+    amb_buf_free(&bytes);
+    assert_non_null(value);
+    return value;
+}
+
+static json_t *json_of(const struct amb_buf *bytes) {
+    cbor_item_t *item = amb_cbor_parse(bytes->data, bytes->len);
+    json_t *read = json_from_cbor(item);
+    cbor_decref(&item);
+    return read;
+}
+
+static const char *key_of(const json_t *sample) {
+    return json_string_value(json_object_get(sample, "key"));
+}
+
+static json_int_t whole(const json_t *object, const char *field) {
+    return json_integer_value(json_object_get(object, field));
+}
+
+static const char *text(const json_t *object, const char *field) {
+    return json_string_value(json_object_get(object, field));
+}
+
+static void must_equal(const char *what, const json_t *written, const json_t *sample) {
+    if (json_equal(written, sample)) return;
+    char *first = json_dumps(written, JSON_SORT_KEYS), *second = json_dumps(sample, JSON_SORT_KEYS);
+    print_error("%s: wrote %s, the sample is %s\n", what, first, second);
+    free(first);
+    free(second);
+    fail();
+}
+
+/* ---- each sample is read ---- */
+
+static void check_spec(const struct amb_spec *spec, const json_t *said) {
+    static const char *const shapes[] = {"batch", "ensemble", "daemon"};
+    static const char *const ranks[] = {"best_effort", "normal", "high", "prod"};
+    const char *zone = text(said, "yard");
+    assert_string_equal(spec->ref, text(said, "ref"));
+    assert_string_equal(spec->class_name, text(said, "berth"));
+    assert_string_equal(spec->team, text(said, "crew"));
+    assert_string_equal(spec->image, text(said, "cask"));
+    assert_string_equal(shapes[spec->kind], text(said, "shape"));
+    assert_string_equal(ranks[spec->priority], text(said, "rank"));
+    assert_int_equal(spec->tasks, whole(said, "legs"));
+    assert_string_equal(spec->zone, zone ? zone : "");
+    assert_true(spec->each.cpus == json_number_value(json_object_get(said, "vcpus")));
+    assert_true(spec->each.gpus == json_number_value(json_object_get(said, "accelerators")));
+    assert_true(spec->each.memory == json_number_value(json_object_get(said, "ram_gb")));
+    assert_true(spec->image_gb == json_number_value(json_object_get(said, "size_gb")));
+    assert_true(spec->estimate_s == json_number_value(json_object_get(said, "reckon_s")));
+    assert_true(spec->checkpoint_s == json_number_value(json_object_get(said, "mark_s")));
+    assert_true(spec->save_s == json_number_value(json_object_get(said, "stow_s")));
+    assert_true(spec->deadline_s == json_number_value(json_object_get(said, "due_s")));
+    assert_int_equal(spec->one_zone, json_is_true(json_object_get(said, "one_zone")));
+    assert_int_equal(spec->spread, json_is_true(json_object_get(said, "scatter")));
+    assert_int_equal(spec->spot, json_is_true(json_object_get(said, "driftwood")));
+    assert_int_equal(spec->ntypes, json_array_size(json_object_get(said, "hulls")));
+    for (uint32_t i = 0; i < spec->ntypes; i++)
+        assert_string_equal(spec->types[i],
+                            json_string_value(json_array_get(json_object_get(said, "hulls"), i)));
+}
+
+static void check_job(const char *ref, const json_t *said) {
+    static const char *const states[] = {"queued", "done", "cancelled"};
+    const struct amb_job *job = amb_job_find(node, ref);
+    assert_non_null(job);
+    assert_string_equal(states[job->state], text(said, "s"));
+    if (job->state == AMB_JOB_DONE) {
+        assert_int_equal(job->shown_done, whole(said, "n"));
+        return;
+    }
+    assert_int_equal(job->accepted_wall, whole(said, "a"));
+    if (job->state == AMB_JOB_CANCELLED) assert_int_equal(job->cancelled_wall, whole(said, "c"));
+    assert_non_null(job->spec);
+    check_spec(job->spec, json_object_get(said, "d"));
+    struct amb_buf written = {0};
+    amb_job_value(&written, job, job->state);
+    json_t *again = json_of(&written);
+    must_equal(ref, again, said);
+    json_decref(again);
+    amb_buf_free(&written);
+}
+
+static void job_records(void **state) {
+    (void)state;
+    json_t *list = load_samples(SIM_JOB_RECORDS), *sample;
+    size_t i;
+    json_array_foreach(list, i, sample) {
+        cbor_item_t *value = value_of(sample);
+        const char *ref = key_of(sample) + strlen("a/job/");
+        /* Some name the same job, of different days: each is read as news of its own. */
+        char name[AMB_NAME];
+        snprintf(name, sizeof name, "wk-sample-%zu", i);
+        json_t *spec = json_object_get(json_object_get(sample, "value"), "d");
+        amb_jobs_apply(node, name, value, 100 + i);
+        if (spec) assert_string_equal(text(spec, "ref"), ref);
+        check_job(name, json_object_get(sample, "value"));
+        cbor_decref(&value);
+    }
+    json_decref(list);
+}
+
+/* A job's tasks as the texts of a block place them: "0,1,m-000012,0,1,1;". */
+static void check_placed(const struct amb_job *job, const char *placed) {
+    unsigned index, attempt;
+    int type, zone, spot, used;
+    char machine[AMB_NAME];
+    for (; *placed; placed += used) {
+        assert_int_equal(sscanf(placed, "%u,%u,%63[^,],%d,%d,%d;%n", &index, &attempt, machine, &type, &zone,
+                                &spot, &used),
+                         6);
+        const struct amb_task *task = &job->tasks[index];
+        assert_non_null(task->machine);
+        assert_string_equal(task->machine->name, machine);
+        assert_int_equal(task->attempt, attempt);
+        assert_int_equal(task->machine->type, type);
+        assert_int_equal(task->machine->zone, zone);
+        assert_int_equal(task->machine->spot, spot);
+        assert_int_equal(task->state, AMB_TASK_BOUND);
+    }
+}
+
+/* "0-3;7-7;" */
+static uint32_t check_done(const struct amb_job *job, const char *done) {
+    unsigned first, last;
+    uint32_t count = 0;
+    int used;
+    for (; *done; done += used) {
+        assert_int_equal(sscanf(done, "%u-%u;%n", &first, &last, &used), 2);
+        for (; first <= last; first++, count++) assert_true(job->tasks[first].done);
+    }
+    return count;
+}
+
+static void check_block(const char *key, const json_t *said) {
+    unsigned index;
+    char ref[AMB_NAME];
+    assert_int_equal(sscanf(key, "b/p/%63[^/]/%u", ref, &index), 2);
+    const struct amb_job *job = amb_job_find(node, ref);
+    check_placed(job, text(said, "p"));
+    assert_int_equal(check_done(job, text(said, "d")), job->ndone);
+    assert_int_equal(job->next_attempt, whole(said, "n"));
+    uint32_t placed = 0;
+    for (uint32_t i = 0; i < job->spec->tasks; i++) placed += job->tasks[i].machine != NULL;
+    uint32_t parts = 0;
+    for (const char *at = text(said, "p"); (at = strchr(at, ';')); at++) parts++;
+    assert_int_equal(placed, parts);
+    struct amb_buf written = {0};
+    amb_record_encode(node, &job->blocks[index], &written);
+    json_t *again = json_of(&written);
+    /* When, and which write it was. */
+    json_object_set(again, "at", json_object_get(said, "at"));
+    assert_true(json_is_string(json_object_get(again, "w")));
+    json_object_set(again, "w", json_object_get(said, "w"));
+    must_equal(key, again, said);
+    json_decref(again);
+    amb_buf_free(&written);
+}
+
+static void know_types_and_zones(void) {
+    node->set.value_kb = RECORDED_VALUE_KB;
+    amb_catalog_zone(&node->catalog, "a");
+    amb_catalog_zone(&node->catalog, "b");
+}
+
+static void placement_block(const json_t *sample) {
+    char ref[AMB_NAME];
+    assert_int_equal(sscanf(key_of(sample), "b/p/%63[^/]/", ref), 1);
+    know_types_and_zones();
+    add_job(ref, AMB_ARRAY, JOB_TASKS);
+    cbor_item_t *value = value_of(sample);
+    amb_record_load(node, key_of(sample), value, 50);
+    check_block(key_of(sample), json_object_get(sample, "value"));
+    cbor_decref(&value);
+}
+
+static void placement_blocks(void **state) {
+    json_t *list = load_samples(SIM_PLACEMENT_BLOCKS), *sample;
+    size_t i;
+    json_array_foreach(list, i, sample) { /* each by a node of its own */
+        if (i) setup(state);
+        placement_block(sample);
+        if (i + 1 < json_array_size(list)) teardown(state);
+    }
+    json_decref(list);
+}
+
+static void rental_requests(void **state) {
+    (void)state;
+    json_t *list = load_samples(SIM_RENTAL_REQUESTS), *sample;
+    size_t i;
+    know_types_and_zones();
+    json_array_foreach(list, i, sample) {
+        const json_t *said = json_object_get(sample, "value");
+        cbor_item_t *value = value_of(sample);
+        amb_rental_load(node, key_of(sample), value);
+        const struct amb_charter *request = node->rental.charters;
+        while (request && request->next) request = request->next;
+        if (!request) {
+            fail_msg("%s: not taken up", key_of(sample));
+            continue;
+        }
+        assert_string_equal(request->id, key_of(sample) + strlen("b/r/"));
+        assert_string_equal(node->catalog.types[request->type].name, text(said, "type"));
+        assert_string_equal(node->catalog.zones[request->zone], text(said, "zone"));
+        assert_int_equal(request->spot, json_is_true(json_object_get(said, "spot")));
+        assert_int_equal(request->count, whole(said, "count"));
+        cbor_decref(&value);
+    }
+    json_decref(list);
+}
+
+static void leader_keys(void **state) {
+    (void)state;
+    json_t *list = load_samples(SIM_LEADER_KEYS), *sample;
+    size_t i;
+    strcpy(node->set.member, "other");
+    node->election.role = AMB_ROLE_FOLLOWING;
+    json_array_foreach(list, i, sample) {
+        cbor_item_t *value = value_of(sample);
+        uint64_t stamp = TERM + 10 + i;
+        amb_election_key(node, value, stamp);
+        assert_string_equal(node->election.holder, text(json_object_get(sample, "value"), "member"));
+        assert_int_equal(node->election.holder_stamp, stamp);
+        cbor_decref(&value);
+    }
+    json_decref(list);
+}
+
+static void deputy_keys(void **state) {
+    (void)state;
+    json_t *list = load_samples(SIM_DEPUTY_KEYS), *sample;
+    size_t i;
+    know_types_and_zones();
+    json_array_foreach(list, i, sample) {
+        const char *zone = text(json_object_get(sample, "value"), "zone");
+        cbor_item_t *value = value_of(sample);
+        amb_deputy_key(node, key_of(sample) + strlen("a/deputy/"), value, 60 + i);
+        assert_true(amb_deputy_in_zone(node, amb_catalog_zone(&node->catalog, zone)));
+        cbor_decref(&value);
+    }
+    json_decref(list);
+}
+
+static void messages(void **state) {
+    (void)state;
+    struct amb_peer *peer = &node->peers.list[0];
+    node->peers.count = 1;
+    node->election.role = AMB_ROLE_FOLLOWING;
+    for (int kind = SIM_HEARTBEATS; kind <= SIM_HEARTBEAT_ANSWERS; kind++) {
+        json_t *list = load_samples((enum sim_sample_kind)kind), *said, *row;
+        size_t i, k;
+        json_array_foreach(list, i, said) {
+            peer->format = AMB_FORMAT_UNKNOWN;
+            amb_peer_heard(node, peer, said, 0);
+            assert_int_equal(peer->term, whole(said, "term"));
+            assert_int_equal(peer->leading, json_is_true(json_object_get(said, "leading")));
+            assert_int_equal(peer->store_ok, json_is_true(json_object_get(said, "store")));
+            assert_int_equal(peer->reports_arrive, json_is_true(json_object_get(said, "reports_arrive")));
+            assert_int_equal(peer->format, AMB_FORMAT_1); /* it announces nothing */
+            json_array_foreach(json_object_get(said, "cancelled"), k, row) {
+                const struct amb_job *job = amb_job_find(node, json_string_value(json_array_get(row, 0)));
+                assert_non_null(job);
+                assert_int_equal(job->state, AMB_JOB_CANCELLED);
+            }
+        }
+        json_decref(list);
+    }
+}
+
+/* ---- what is written and said while an old node lives ---- */
+
+/* Samples of a kind differ by what they tell: a job that is done is described no more, a leader says more. */
+static const char *variant_of(const json_t *sample) {
+    const char *job_state = text(json_object_get(sample, "value"), "s");
+    if (job_state) return job_state;
+    return json_is_true(json_object_get(sample, "leading")) && json_object_get(sample, "epoch") ? "leading"
+                                                                                                : "";
+}
+
+/* What the present version says beside, and the production version ignores. */
+static json_t *without_new_fields(const json_t *sample) {
+    json_t *copy = json_deep_copy(sample);
+    json_object_del(copy, "format");
+    return copy;
+}
+
+static void unite(json_t *all, const json_t *form) {
+    json_object_update(all, (json_t *)form);
+}
+
+/* The paths of a form, without the kinds of their values; and not what lies below machines or lists, of which
+ * there may be none. */
+static json_t *needed_of(const json_t *form) {
+    json_t *needed = json_object();
+    const char *key;
+    json_t *unused;
+    json_object_foreach((json_t *)form, key, unused) {
+        char path[PATH_MOST];
+        size_t len = strcspn(key, "=");
+        if (memchr(key, '[', len) || memchr(key, '9', len)) continue;
+        snprintf(path, sizeof path, "%.*s", (int)len, key);
+        if (!strncmp(path, "images", 6)) continue;
+        json_object_set_new(needed, path, json_true());
+    }
+    return needed;
+}
+
+static void keep_common(json_t *needed, const json_t *other) {
+    const char *key;
+    json_t *unused;
+    void *next;
+    json_object_foreach_safe(needed, next, key, unused) if (!json_object_get(other, key))
+        json_object_del(needed, key);
+}
+
+struct known_form { /* of the production version's samples of a kind and variant */
+    json_t *may, *must;
+};
+
+static struct known_form known_form(const json_t *list, const char *variant) {
+    struct known_form known = {json_object(), NULL};
+    json_t *sample;
+    size_t i;
+    json_array_foreach(list, i, sample) {
+        if (strcmp(variant_of(sample), variant)) continue;
+        json_t *form = sim_form(sample), *needed = needed_of(form);
+        unite(known.may, form);
+        if (known.must)
+            keep_common(known.must, needed);
+        else
+            known.must = json_incref(needed);
+        json_decref(needed);
+        json_decref(form);
+    }
+    return known;
+}
+
+static void check_form(const char *kind, const struct known_form *known, const json_t *sample) {
+    json_t *plain = without_new_fields(sample), *form = sim_form(plain), *has = needed_of(form), *unused;
+    const char *key;
+    if (!known->must) fail_msg("%s: the production version writes none like %s", kind, json_dumps(sample, 0));
+    json_object_foreach(form, key, unused) if (!json_object_get(known->may, key))
+        fail_msg("%s: the production version writes no %s: %s", kind, key, json_dumps(sample, 0));
+    json_object_foreach(known->must, key, unused) if (!json_object_get(has, key))
+        fail_msg("%s: the production version always writes %s: %s", kind, key, json_dumps(sample, 0));
+    json_decref(has);
+    json_decref(form);
+    json_decref(plain);
+}
+
+static void check_kind(enum sim_sample_kind kind) {
+    json_t *list = load_samples(kind), *sample;
+    size_t i;
+    if (!json_array_size(sim_samples(kind))) fail_msg("%s: nothing was written", sim_sample_names[kind]);
+    json_array_foreach(sim_samples(kind), i, sample) {
+        struct known_form known = known_form(list, variant_of(sample));
+        check_form(sim_sample_names[kind], &known, sample);
+        json_decref(known.may);
+        json_decref(known.must);
+    }
+    json_decref(list);
+}
+
+/* Two nodes of three are upgraded at once, the third never is. */
+static void written_beside_an_old_node(void **state) {
+    (void)state;
+    static const struct sim_size size = {3, 12, 14, 12, 3, 1000, 10000, 30000, 200, 20, 3};
+    static const struct sim_fault faults[] = {
+        {SIM_UPGRADE, 5000, NEVER_MS, 2},
+        {SIM_KILL, 18000, 1, 2}, /* the old node, which comes back old: a new one leads */
+        {SIM_KILL_BRIEF, 45000, 1, -1},
+        {SIM_ZONES_APART, 60000, 25000, -1},
+        {SIM_HANG, 50000, 15000, -1},
+    };
+    if (!sim_production_at_hand()) fail_msg("the production version is not in the repository's history");
+    sim_record(false);
+    for (uint64_t seed = 1; seed <= 3; seed++) {
+        struct sim_result result = sim_play(&(struct sim_plan){
+            .size = &size,
+            .seed = seed,
+            .length = 160000,
+            .load = SIM_LOAD_ALL_FIELDS | SIM_LOAD_ZONE_BOUND | SIM_LOAD_CROWDED,
+            .faults = faults,
+            .fault_count = ROWS(faults),
+        });
+        if (result.broken[0]) fail_msg("seed %llu: %s", (unsigned long long)seed, result.broken);
+    }
+    sim_record_stop();
+    for (int kind = 0; kind < SIM_OTHER_RECORDS; kind++) check_kind((enum sim_sample_kind)kind);
+    if (json_array_size(sim_samples(SIM_OTHER_RECORDS)))
+        fail_msg("a record of a kind that the production version does not know: %s",
+                 json_dumps(sim_samples(SIM_OTHER_RECORDS), 0));
+}
+
+int main(int argc, char **argv) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(job_records, setup, teardown),
+        cmocka_unit_test_setup_teardown(placement_blocks, setup, teardown),
+        cmocka_unit_test_setup_teardown(rental_requests, setup, teardown),
+        cmocka_unit_test_setup_teardown(leader_keys, setup, teardown),
+        cmocka_unit_test_setup_teardown(deputy_keys, setup, teardown),
+        cmocka_unit_test_setup_teardown(messages, setup, teardown),
+        cmocka_unit_test(written_beside_an_old_node),
+    };
+    if (!choose_named_test(tests, ROWS(tests), argc, argv)) return 2;
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
