--- a/tests/standin/explore.c
+++ b/tests/standin/explore.c
@@ -25,7 +25,7 @@
     LENGTH_MS = 300000,
     UPGRADE_LEAST_MS = 2000, /* from one node's end to the next */
     UPGRADE_MOST_MS = 30000,
-    LOADS = 5,
+    LOADS = 6,
 };
 
 static const char *const kinds[] = {
--- a/tests/standin/pipelines.c
+++ b/tests/standin/pipelines.c
@@ -9,7 +9,7 @@
     STAGES_MOST = 5,
     BEGIN_MS = 15000, /* no pipeline is submitted before */
     BIG_JOBS = 3,     /* of many tasks, a day, so that their records take several blocks */
-    UNKNOWN_JOBS = 3, /* submissions a day that name a job that was never accepted, or no job */
+    UNFIT_JOBS = 6,   /* submissions a day that name a job that was never accepted, or no job, in turn */
     ANCESTORS_MOST = 256,
     NEVER_ACCEPTED = 900000, /* and above: numbers of no job */
 };
@@ -226,10 +226,10 @@
     sim_user_comes(job, at);
 }
 
-static void draw_unfit_job(amb_ms at) {
+static void draw_unfit_job(amb_ms at, enum sim_oddity oddity) {
     struct sim_job *job = sim_job_new();
     draw_stage_spec(&job->spec);
-    job->oddity = sim_random() % 3 ? SIM_AWAITS_UNKNOWN : SIM_AWAITS_MALFORMED;
+    job->oddity = oddity;
     job->at = at;
     sim_user_comes(job, at);
 }
@@ -240,7 +240,8 @@
     if (count > 100) count = 100;
     for (int number = 1; number <= count; number++) draw_pipeline(number, sim_between(begin, end));
     for (int i = 0; i < BIG_JOBS; i++) draw_big_job(sim_between(begin, end));
-    for (int i = 0; i < UNKNOWN_JOBS; i++) draw_unfit_job(sim_between(begin, end));
+    for (int i = 0; i < UNFIT_JOBS; i++)
+        draw_unfit_job(sim_between(begin, end), i % 2 ? SIM_AWAITS_MALFORMED : SIM_AWAITS_UNKNOWN);
 }
 
 /* ---- questions ---- */
--- /dev/null
+++ b/tests/test_standin_pipelines.c
@@ -0,0 +1,183 @@
+/* Whole days of the stand-in with pipelines: users submit jobs that await others, watch them at all nodes and
+ * cancel some on the way, while troubles come. No task may start before all that its job needs are done, and
+ * what needs a cancelled job is cancelled with it, at every node in time. */
+#include "check.h"
+#include "named_tests.h"
+#include "standin.h"
+
+#include "amberpin/log.h"
+
+enum { DAY = 300000, LONG_DAY = 600000, SEEDS = 3 };
+
+/* Half as many pipelines as jobs. */
+static const struct sim_size pipelines = {3, 20, 24, 6, 3, 1000, 10000, 30000, 200, 20, 3};
+
+struct day {
+    const char *what;
+    unsigned load; /* beside the pipelines */
+    struct sim_fault faults[6];
+    size_t count;
+    amb_ms length; /* 0: DAY */
+};
+
+static struct sim_result play(const struct day *day, uint64_t seed) {
+    return sim_play(&(struct sim_plan){
+        .size = &pipelines,
+        .seed = seed,
+        .length = day->length ? day->length : DAY,
+        .load = SIM_LOAD_PIPELINES | day->load,
+        .faults = day->faults,
+        .fault_count = day->count,
+    });
+}
+
+static void must_hold(const struct day *day, uint64_t seed) {
+    struct sim_result r = play(day, seed);
+    if (getenv("SIM_TRACE"))
+        printf("%s, seed %llu: %u accepted, %u done, %u cancelled, %u open; of jobs that await others %u "
+               "accepted, %u done, %u cancelled with one; %u unknown refused, %u refused for size, %u for "
+               "rate; %s\n",
+               day->what, (unsigned long long)seed, r.accepted, r.done, r.cancelled, r.open, r.dependants,
+               r.dependants_done, r.dependants_cancelled, r.unknown_refused, r.size_refusals, r.rate_refusals,
+               r.broken);
+    if (r.broken[0]) fail_msg("%s, seed %llu: %s", day->what, (unsigned long long)seed, r.broken);
+    if (r.dependants < 20 || r.dependants_done < 6 || r.dependants_cancelled < 4 || r.open)
+        fail_msg("%s, seed %llu: of jobs that await others %u accepted, %u done, %u cancelled; %u left open",
+                 day->what, (unsigned long long)seed, r.dependants, r.dependants_done, r.dependants_cancelled,
+                 r.open);
+    if (r.unknown_refused < 1)
+        fail_msg("%s, seed %llu: no submission that awaits an unknown job was refused", day->what,
+                 (unsigned long long)seed);
+}
+
+static void play_days(const struct day *days, size_t count) {
+    for (size_t i = 0; i < count; i++)
+        for (uint64_t seed = 1; seed <= SEEDS; seed++) must_hold(&days[i], seed);
+}
+
+static void quiet_days(void **state) {
+    (void)state;
+    static const struct day days[] = {{"quiet", 0, {{0}}, 0, 0}};
+    play_days(days, ROWS(days));
+}
+
+static void cancelled_in_the_instant_of_an_end(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"cancelled as they end", 0, {{SIM_CANCEL_AT_END, 15000, 110000, 25}}, 1, 0},
+        {"cancelled as they end, while answers are lost",
+         0,
+         {{SIM_CANCEL_AT_END, 15000, 110000, 25}, {SIM_LOST_WRITES, 15000, 110000, 30}},
+         2,
+         0},
+        {"cancelled as they end, while writes are late",
+         0,
+         {{SIM_CANCEL_AT_END, 15000, 110000, 25}, {SIM_LATE_WRITES, 15000, 110000, 30}},
+         2,
+         0},
+    };
+    play_days(days, ROWS(days));
+}
+
+static void cancelled_across_leaders(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"leaders end in turn",
+         0,
+         {{SIM_KILL, 30000, 1, -1},
+          {SIM_KILL, 50000, 1, -1},
+          {SIM_KILL, 70000, 1, -1},
+          {SIM_KILL, 90000, 1, -1}},
+         4,
+         0},
+        {"leaders end in turn as jobs end and are cancelled",
+         0,
+         {{SIM_CANCEL_AT_END, 15000, 110000, 25},
+          {SIM_KILL, 30000, 1, -1},
+          {SIM_KILL, 55000, 1, -1},
+          {SIM_KILL_BRIEF, 80000, 1, -1}},
+         4,
+         0},
+        {"the leader is cut from the state service alone",
+         0,
+         {{SIM_CUT_STATE, 30000, 15000, -1}, {SIM_CUT_STATE, 60000, 40000, -1}},
+         2,
+         0},
+        {"the leader is refused by the state service alone, then all are",
+         0,
+         {{SIM_REFUSE_STATE, 30000, 8000, -1}, {SIM_OUTAGE, 38000, 40000, -1}},
+         2,
+         0},
+        {"zones apart", 0, {{SIM_ZONES_APART, 30000, 30000, -1}, {SIM_KILL, 45000, 1, -1}}, 2, 0},
+    };
+    play_days(days, ROWS(days));
+}
+
+static void cancelled_in_a_long_outage(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"an outage longer than cancel_s", 0, {{SIM_OUTAGE, 40000, 45000, -1}}, 1, 0},
+        {"such an outage, and all controllers end in it",
+         0,
+         {{SIM_OUTAGE, 40000, 45000, -1},
+          {SIM_KILL, 60000, 1, 0},
+          {SIM_KILL, 61000, 1, 1},
+          {SIM_KILL, 62000, 1, 2}},
+         4,
+         0},
+        {"answers of the state service are lost",
+         0,
+         {{SIM_LOSE_ANSWERS, 25000, 70000, -1}, {SIM_KILL, 50000, 1, -1}},
+         2,
+         0},
+    };
+    play_days(days, ROWS(days));
+}
+
+static void asked_closely(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"close looks",
+         0,
+         {{SIM_CLOSE_LOOKS, 15000, 110000, -1}, {SIM_ODD_REQUESTS, 20000, 60000, -1}},
+         2,
+         0},
+        {"close looks while the state service is slow",
+         0,
+         {{SIM_CLOSE_LOOKS, 15000, 110000, -1},
+          {SIM_SLOW_STATE, 30000, 40000, -1},
+          {SIM_ODD_REQUESTS, 20000, 60000, -1}},
+         3,
+         0},
+        {"close looks while requests are late",
+         0,
+         {{SIM_CLOSE_LOOKS, 15000, 110000, -1}, {SIM_LATE, 25000, 60000, -1}},
+         2,
+         0},
+    };
+    play_days(days, ROWS(days));
+}
+
+static void beside_other_loads(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"and a stream of one-task jobs", SIM_LOAD_STREAM, {{SIM_KILL, 40000, 1, -1}}, 1, 0},
+        {"and teams at their limits", SIM_LOAD_TIGHT_TEAMS, {{SIM_KILL, 40000, 1, -1}}, 1, LONG_DAY},
+        {"and more work than room", SIM_LOAD_CROWDED, {{SIM_KILL, 40000, 1, -1}}, 1, 0},
+        {"and hanging machines", 0, {{SIM_HANG, 30000, 20000, -1}, {SIM_HANG, 60000, 20000, -1}}, 2, 0},
+    };
+    play_days(days, ROWS(days));
+}
+
+int main(int argc, char **argv) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(quiet_days),
+        cmocka_unit_test(cancelled_in_the_instant_of_an_end),
+        cmocka_unit_test(cancelled_across_leaders),
+        cmocka_unit_test(cancelled_in_a_long_outage),
+        cmocka_unit_test(asked_closely),
+        cmocka_unit_test(beside_other_loads),
+    };
+    if (!choose_named_test(tests, ROWS(tests), argc, argv)) return 2;
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -35,6 +35,10 @@
                (long long)r.upgraded_at, r.dependants, r.dependants_done, r.dependants_cancelled,
                r.size_refusals, r.rate_refusals, r.broken);
     if (r.broken[0]) fail_msg("%s, seed %llu: %s", day->what, (unsigned long long)seed, r.broken);
+    if ((day->load & SIM_LOAD_PIPELINES) &&
+        (r.dependants < 15 || r.dependants_done < 4 || r.dependants_cancelled < 2))
+        fail_msg("%s, seed %llu: of jobs that await others %u accepted, %u done, %u cancelled", day->what,
+                 (unsigned long long)seed, r.dependants, r.dependants_done, r.dependants_cancelled);
     if (r.accepted < 16 || r.done < 8 || r.open)
         fail_msg("%s, seed %llu: %u accepted, %u done, %u left open", day->what, (unsigned long long)seed,
                  r.accepted, r.done, r.open);
@@ -122,11 +126,39 @@
     play_days(days, ROWS(days));
 }
 
+/* The first pipelines come as soon as all nodes are new. */
+static void pipelines_right_after(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"an upgrade, then pipelines", SIM_LOAD_PIPELINES, {{SIM_UPGRADE, 30000, 15000, -1}}, 1},
+        {"the last node is new, and the leader ends",
+         SIM_LOAD_PIPELINES,
+         {{SIM_UPGRADE, 30000, 12000, -1}, {SIM_KILL_BRIEF, 60500, 1, -1}, {SIM_KILL, 68000, 1, -1}},
+         3},
+        {"late transactions of ended nodes",
+         SIM_LOAD_PIPELINES,
+         {{SIM_UPGRADE, 30000, 12000, -1}, {SIM_LATE_WRITES, 25000, 70000, 40}, {SIM_KILL, 62000, 1, -1}},
+         3},
+        {"zones apart as the last node is upgraded",
+         SIM_LOAD_PIPELINES,
+         {{SIM_UPGRADE, 30000, 12000, -1}, {SIM_ZONES_APART, 50000, 30000, -1}},
+         2},
+        {"answers are lost",
+         SIM_LOAD_PIPELINES,
+         {{SIM_UPGRADE, 30000, 12000, -1},
+          {SIM_LOSE_ANSWERS, 45000, 40000, -1},
+          {SIM_CLOSE_LOOKS, 60000, 60000, -1}},
+         3},
+    };
+    play_days(days, ROWS(days));
+}
+
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(one_at_a_time),
         cmocka_unit_test(leaders_end_on_the_way),
         cmocka_unit_test(troubles_on_the_way),
+        cmocka_unit_test(pipelines_right_after),
     };
     if (!choose_named_test(tests, ROWS(tests), argc, argv)) return 2;
     return cmocka_run_group_tests(tests, NULL, NULL);
