A stage takes over the priority of what needs it once its pipeline is late

With that priority from the beginning, early stages stopped batch work of others that they could have waited for. A stage now counts with its own priority while its pipeline has time, and with the highest of all that need it from the latest moment at which it has to start (or always, if nothing tells a due time).

--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -166,6 +166,7 @@
     /* Its pipeline's (pipelines.h): */
     bool awaiting;                  /* a job that it awaits is not done: it must not start */
     bool is_needed;                 /* by jobs that await it, as `needed` says */
+    bool late;                      /* started later than now, it would make its pipeline miss its due time */
     struct amb_urgency_need needed; /* of all of them */
     int64_t ready_wall;             /* when the last that it awaited was done; 0: unknown, or none */
     UT_hash_handle hh;
--- a/include/amberpin/pipelines.h
+++ b/include/amberpin/pipelines.h
@@ -1,5 +1,6 @@
 /* Jobs that await others: joins the graph of dependencies to the table of jobs. It keeps each job's
- * `awaiting`, `ready_wall` and `needed`, and derives the cancellation of jobs from that of jobs before them.
+ * `awaiting`, `ready_wall`, `needed` and `late`, and derives the cancellation of jobs from that of jobs
+ * before them.
  */
 #ifndef AMBERPIN_PIPELINES_H
 #define AMBERPIN_PIPELINES_H
@@ -16,11 +17,12 @@
 void amb_pipeline_accepted(struct amb_node *node, struct amb_job *job);
 /* The job is done, or cancelled by its own record. */
 void amb_pipeline_over(struct amb_node *node, const struct amb_job *job);
-/* Brings every job's `needed` up to date. */
+/* Brings `needed` and `late` of the jobs in care up to date. */
 void amb_pipelines_reckon(struct amb_node *node);
 void amb_pipelines_clear(struct amb_node *node);
 
-/* The job's own priority, or that of the most urgent job that needs it. */
+/* The job's own priority or, if its pipeline is late or has no due time, that of the most urgent job that
+ * needs it. */
 enum amb_priority amb_job_priority(const struct amb_job *job);
 /* The time of day since which the job could run: its submission, or the end of the last job that it awaited.
  */
--- a/lib/pipelines.c
+++ b/lib/pipelines.c
@@ -78,8 +78,19 @@
         amb_dependencies_cancelled(graph_of(node), job->ref);
 }
 
+/* The latest time of day at which its tasks may start for the job to be in time. */
+static int64_t latest_start_wall(const struct amb_job *job) {
+    int64_t due = amb_job_due_wall(job);
+    return due == AMB_NO_DUE ? AMB_NO_DUE : due - amb_secs(amb_spec_work_s(job->spec));
+}
+
 void amb_pipelines_reckon(struct amb_node *node) {
     amb_dependencies_reckon(graph_of(node));
+    int64_t now = amb_wall_ms();
+    for (struct amb_job *job = node->jobs.live; job; job = job->next_live) {
+        int64_t latest = job->is_needed ? latest_start_wall(job) : AMB_NO_DUE;
+        job->late = job->is_needed && (latest == AMB_NO_DUE || latest <= now);
+    }
 }
 
 void amb_pipelines_clear(struct amb_node *node) {
@@ -90,7 +101,7 @@
 
 enum amb_priority amb_job_priority(const struct amb_job *job) {
     enum amb_priority own = job->spec->priority;
-    return job->is_needed && job->needed.priority > own ? job->needed.priority : own;
+    return job->late && job->needed.priority > own ? job->needed.priority : own;
 }
 
 int64_t amb_job_ready_wall(const struct amb_job *job) {
@@ -105,6 +116,5 @@
 int64_t amb_job_order_wall(const struct amb_job *job) {
     int64_t since = amb_job_ready_wall(job);
     if (!job->is_needed && !job->awaits) return since;
-    int64_t due = amb_job_due_wall(job);
-    return due == AMB_NO_DUE ? since : earlier(since, due - amb_secs(amb_spec_work_s(job->spec)));
+    return earlier(since, latest_start_wall(job));
 }
