--- a/tests/test_pipelines.c
+++ b/tests/test_pipelines.c
@@ -33,7 +33,7 @@
 
 static struct service {
     uint64_t epoch;
-    bool out, held, gone;
+    bool out, held, gone, loses; /* loses: the next answer to a transaction */
 } service;
 
 static void forget_records(void) {
@@ -143,7 +143,9 @@
         amb_w_str(&b, "failed");
         amb_w_list(&b, 0);
     }
-    fake_answer(call, holds ? 200 : 409, &b);
+    bool lost = service.loses;
+    service.loses = false;
+    fake_answer(call, lost ? 0 : holds ? 200 : 409, &b);
 }
 
 static bool is_watch(const struct fake_call *call) {
@@ -375,6 +377,8 @@
         settle();
     } else if (!strcmp(step, "gone")) {
         service.gone = true;
+    } else if (!strcmp(step, "lose")) {
+        service.loses = true;
     } else if (!strcmp(step, "lead")) {
         lead();
     } else if (!strcmp(step, "stop")) {
@@ -488,6 +492,7 @@
         {"the dependant during it", "+a hold -a=0 +b:a=0 release ?b=200c ?a=200c"},
         {"the dependant elsewhere during it", "+a hold -a=0 @+b:a release last=200c ?b=200c"},
         {"the dependant elsewhere after it, and heard of before", "@+b:a ~ @+a @-a ~ ?b=200c"},
+        {"the word of it alone, then the acceptance", "@+b:a ^b ~ out ?b=200c"},
         {"a chain heard of in any order", "@+c:b ~ @+b:a ~ @+a ~ @-a ~ out ?c=200c"},
         {"a chain heard of after it", "@+a @-a ~ @+c:b ~ @+b:a ~ out ?c=200c"},
         {"of the one that is cancelled with it", "+a +b:a -a=200c out -b=200c"},
@@ -518,6 +523,7 @@
         {"the end is not on record yet", "lead +a +b:a hold !a live=a release live=b"},
         {"the end is not on record, and the job is cancelled",
          "lead +a +b:a hold !a @-a release live=a ~ live= ?b=200c"},
+        {"the answer to the write of the end is lost", "lead +a +b:a lose !a live=a ~ live=b"},
         {"the end is told of by news", "lead +a +b:a @!a ~ live=b"},
         {"accepted elsewhere", "lead @+a @+b:a ~ live=a !a live=b"},
         {"accepted elsewhere, the later one heard of first", "lead @+b:a ~ live= @+a ~ live=a !a live=b"},
@@ -810,6 +816,9 @@
         {"older", "best_effort", 0, 10, 20, "best_effort", 10, true},
         {"younger", "best_effort", 0, 10, 10, "best_effort", 20, false},
         {"younger, but for a higher priority", "high", 0, 10, 10, "normal", 20, true},
+        {"younger, for a higher priority that has time", "high", 600, 10, 10, "normal", 20, false},
+        {"older, for a higher priority that has time", "high", 600, 10, 20, "normal", 10, false},
+        {"younger, for a higher priority that is late", "high", 30, 10, 10, "normal", 20, true},
         {"older, but of a lower priority", "normal", 0, 10, 20, "high", 10, false},
         {"younger, with time", "normal", 600, 10, 10, "normal", 20, false},
         {"younger, and late", "normal", 30, 10, 10, "normal", 20, true}, /* 30 s less 1.5 x 20 s and 10 s */
@@ -887,20 +896,23 @@
     (void)state;
     static const struct {
         const char *what, *last_rank;
+        double due_s; /* the work takes 45 s, as reckoned */
         enum amb_priority claim;
         bool makes_way;
         enum amb_priority own_claim;
     } rows[] = {
-        {"of a high pipeline, for high work", "high", AMB_HIGH, false, AMB_HIGH},
-        {"of a high pipeline, for prod work", "high", AMB_PROD, true, AMB_HIGH},
-        {"of a normal pipeline, for high work", "normal", AMB_HIGH, true, AMB_NORMAL},
-        {"of a prod pipeline, for prod work", "prod", AMB_PROD, false, AMB_PROD},
+        {"of a high pipeline, for high work", "high", 0, AMB_HIGH, false, AMB_HIGH},
+        {"of a high pipeline, for prod work", "high", 0, AMB_PROD, true, AMB_HIGH},
+        {"of a normal pipeline, for high work", "normal", 0, AMB_HIGH, true, AMB_NORMAL},
+        {"of a prod pipeline, for prod work", "prod", 0, AMB_PROD, false, AMB_PROD},
+        {"of a high pipeline that has time", "high", 60, AMB_HIGH, true, AMB_BEST_EFFORT},
+        {"of a high pipeline that is late", "high", 44, AMB_HIGH, false, AMB_HIGH},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
         anew();
         lead();
         struct amb_job *first = job_from("wk-first", "best_effort", 0, 20, 0, "", 201);
-        job_from("wk-last", rows[i].last_rank, 0, 10, 0, "\"wk-first\"", 202);
+        job_from("wk-last", rows[i].last_rank, rows[i].due_s, 10, 0, "\"wk-first\"", 202);
         amb_pipelines_reckon(node);
         struct amb_task *task = bound(first, 0, "m-1", 1);
         task->state = AMB_TASK_SEEN;
@@ -921,7 +933,7 @@
     (void)state;
     lead();
     struct amb_job *first = job_from("wk-first", "best_effort", 0, 20, 0, "", 201);
-    struct amb_job *last = job_from("wk-last", "high", 100, 10, 0, "\"wk-first\"", 202);
+    struct amb_job *last = job_from("wk-last", "high", 30, 10, 0, "\"wk-first\"", 202);
     amb_pipelines_reckon(node);
     assert_int_equal(amb_job_priority(first), AMB_HIGH);
     amb_job_cancel_hint(node, last->ref, amb_wall_ms(), 203);
@@ -947,6 +959,9 @@
     request("POST", "/v1/jobs", &body);
     assert_string_equal(answer(), "201q");
     assert_int_equal(node->ctl.ndemands, 0);
+    stop();
+    lead(); /* who takes the lead notes what it finds */
+    assert_int_equal(node->ctl.ndemands, 0);
     finish_tasks('a');
     assert_int_equal(node->ctl.ndemands, 1);
 }
