--- a/include/amberpin/cbor_reader.h
+++ b/include/amberpin/cbor_reader.h
@@ -31,6 +31,9 @@
     struct amb_cbor_reader *r);                /* whether the next value is null; only then it is passed */
 void amb_cbor_skip(struct amb_cbor_reader *r); /* a whole value */
 
+/* No more bytes than this the value takes as JSON, in which the protocol counts sizes. */
+size_t amb_cbor_json_size(const void *data, size_t len);
+
 bool amb_cbor_text_is(struct amb_cbor_text t, const char *text);
 /* A terminated copy. False, and the reader odd, when it does not fit or holds a NUL. */
 bool amb_cbor_copy_text(struct amb_cbor_reader *r, struct amb_cbor_text t, char *out, size_t cap);
--- a/include/amberpin/codec.h
+++ b/include/amberpin/codec.h
@@ -16,6 +16,7 @@
 bool amb_cbor_num(const cbor_item_t *v, double *out);
 bool amb_cbor_bool(const cbor_item_t *v, bool *out);
 size_t amb_cbor_len(const cbor_item_t *list); /* 0 when not a list */
+char *amb_cbor_text(const cbor_item_t *v);    /* of any length, to be freed; NULL: not a text */
 const cbor_item_t *amb_cbor_at(const cbor_item_t *list, size_t i);
 
 /* Writing, straight into a buffer. */
--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -119,15 +119,31 @@
     double grace_s;
 };
 
+struct amb_task_range {
+    uint32_t first, end; /* up to, not including, end */
+};
+
+enum amb_layout {
+    AMB_LAYOUT_BY_SETTINGS, /* of the first format: tasks a block as the settings have it */
+    AMB_LAYOUT_BY_KEY,      /* of the second: as the key says */
+};
+
+struct amb_block_id { /* within its job */
+    enum amb_layout layout;
+    uint32_t tasks_per_block, index;
+};
+
 struct amb_block {  /* a stretch of a job's tasks, recorded as one value */
     uint64_t stamp; /* 0: not there */
     bool dirty, urgent, in_flight, stamp_unsure;
+    bool replaced;      /* never written again: blocks of another size are, for the same tasks */
     uint64_t job_stamp; /* guard of what is being written */
     amb_ms dirty_at, retry_at;
     char write_id[40];
     struct amb_buf value; /* being written; kept until it is known whether it was */
     struct amb_job *job;
-    uint32_t index;
+    struct amb_block_id id;
+    struct amb_task_range tasks; /* that it holds, or may hold */
 };
 
 enum amb_gang_state {
@@ -154,7 +170,11 @@
     struct amb_job *next_live, *prev_live;
     bool live; /* in the list of jobs that have tasks to care for */
     struct amb_task *tasks;
-    struct amb_block *blocks;
+    struct amb_block *blocks;   /* all of one size; written as their tasks change */
+    struct amb_block *replaced; /* of other sizes, that still stand in the state service */
+    uint32_t nreplaced, tasks_per_block;
+    enum amb_layout layout;
+    uint32_t fitting_tasks; /* a block of more came out too large to write; 0: none has yet */
     uint32_t nblocks, ndone, nbound, nrunning, first_waiting;
     uint32_t zone_used[AMB_ZONES];
     uint64_t next_attempt;
--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -51,7 +51,9 @@
 void amb_record_dirty(struct amb_node *n, struct amb_task *t, bool urgent);
 void amb_record_pump(struct amb_node *n); /* writes what is due */
 void amb_record_load(struct amb_node *n, const char *key, const cbor_item_t *value, uint64_t stamp);
-uint32_t amb_record_tasks_per_block(const struct amb_settings *s);
+uint32_t amb_record_tasks_per_block(const struct amb_settings *s); /* of the first format */
+void amb_record_job_taken(struct amb_node *n, struct amb_job *j);  /* its blocks, none of them written yet */
+void amb_record_job_left(struct amb_job *j);
 void amb_record_encode(struct amb_node *n, const struct amb_block *k, struct amb_buf *out);
 
 /* ---- fleet: machines, reports, orders ---- */
@@ -147,7 +149,7 @@
 
 struct amb_peer_facts { /* what a node says of itself in every message, beside cancellations */
     uint64_t term;
-    bool loaded, leading, store_ok, reports_arrive;
+    bool loaded, leading, store_ok, reports_arrive, limits_lowered;
 };
 
 struct amb_peer_saying { /* a message of this node, kept as long as it would say the same */
--- a/include/amberpin/store.h
+++ b/include/amberpin/store.h
@@ -44,6 +44,9 @@
     struct amb_budget user_writes; /* shared by all nodes: each counts what the others are seen to write */
     uint32_t user_pending;         /* writes of ours that are sent and not yet seen */
     double rps, write_rps;
+    double lowered_write_rps; /* what the state service may allow from some moment on */
+    bool limits_lowered;      /* it does */
+    bool leading;             /* and has the leader's share */
     uint32_t members;
     amb_ms call_timeout;
     struct amb_store_op *queue[AMB_URGENCIES], *tail[AMB_URGENCIES];
@@ -54,6 +57,8 @@
 
 void amb_store_init(struct amb_store *s, const struct amb_settings *set, amb_ms call_timeout);
 void amb_store_share(struct amb_store *s, bool leading); /* the leader writes most */
+/* The state service has been seen to have lowered its limits: for good. */
+void amb_store_limits_lowered(struct amb_store *s, const char *sign);
 /* For a user: are there tokens, and keep: a share of the bucket left for more urgent jobs? */
 bool amb_store_can_write(struct amb_store *s, uint32_t n, double keep);
 /* The leader's: write tokens that one half does not need go to the other, at all nodes alike. How many went
--- a/lib/cbor_reader.c
+++ b/lib/cbor_reader.c
@@ -124,6 +124,45 @@
     for (size_t due = 1; due && !r->odd; due--) due += skip_one(r);
 }
 
+/* ---- sizes ---- */
+
+enum { JSON_SEPARATOR = 2, JSON_NUMBER = 25, JSON_ESCAPE = 6 }; /* bytes at most */
+
+static size_t json_text_size(struct amb_cbor_text text) {
+    size_t size = text.len + 2;
+    for (size_t i = 0; i < text.len; i++)
+        if (text.data[i] < ' ' || text.data[i] == '"' || text.data[i] == '\\' || text.data[i] == 0x7f)
+            size += JSON_ESCAPE - 1;
+    return size;
+}
+
+static size_t json_uint_size(uint64_t value) {
+    size_t digits = 1;
+    for (; value >= 10; value /= 10) digits++;
+    return digits;
+}
+
+/* One value without what is within it, of which it says how many values there are. */
+static size_t json_head_size(struct amb_cbor_reader *r, size_t *within) {
+    int byte = next_byte(r);
+    *within = 0;
+    switch (byte < 0 ? -1 : byte >> 5) {
+    case MAJOR_UINT: return json_uint_size(amb_cbor_read_uint(r));
+    case MAJOR_TEXT: return json_text_size(amb_cbor_read_text(r));
+    case MAJOR_LIST: *within = amb_cbor_read_list(r); return 2;
+    case MAJOR_MAP: *within = 2 * amb_cbor_read_map(r); return 2;
+    default: skip_one(r); return JSON_NUMBER;
+    }
+}
+
+size_t amb_cbor_json_size(const void *data, size_t len) {
+    struct amb_cbor_reader r = amb_cbor_reader(data, len);
+    size_t size = 0, within;
+    for (size_t due = 1; due && !r.odd; due += within - 1)
+        size += json_head_size(&r, &within) + JSON_SEPARATOR;
+    return r.odd ? len * JSON_ESCAPE : size; /* each byte escaped */
+}
+
 bool amb_cbor_text_is(struct amb_cbor_text t, const char *text) {
     return strlen(text) == t.len && !memcmp(t.data, text, t.len);
 }
--- a/lib/codec.c
+++ b/lib/codec.c
@@ -74,6 +74,15 @@
     return true;
 }
 
+char *amb_cbor_text(const cbor_item_t *v) {
+    if (!v || !cbor_isa_string(v) || !cbor_string_is_definite(v)) return NULL;
+    size_t cap = cbor_string_length(v) + 1;
+    char *text = amb_alloc(cap);
+    if (amb_cbor_str(v, text, cap)) return text;
+    free(text);
+    return NULL;
+}
+
 bool amb_cbor_eq(const cbor_item_t *v, const char *text) {
     size_t n = strlen(text);
     return v && cbor_isa_string(v) && cbor_string_is_definite(v) && cbor_string_length(v) == n &&
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -101,6 +101,7 @@
     amb_ms now = amb_now();
     return (struct amb_peer_facts){
         .term = amb_leads(n) ? n->election.term : n->election.highest,
+        .limits_lowered = n->store.limits_lowered,
         .loaded = n->jobs.loaded,
         .leading = amb_leads(n),
         .store_ok = own_store_ok(n, now),
@@ -118,6 +119,7 @@
     /* The first format had no name. */
     if (amb_format_spoken(n) > AMB_FORMAT_1)
         json_object_set_new(said, "format", json_integer(amb_format_spoken(n)));
+    if (f.limits_lowered) json_object_set_new(said, "limits_lowered", json_true());
     return said;
 }
 
@@ -136,6 +138,8 @@
         return;
     p->heard_at = amb_now();
     amb_format_heard(p, read_format(said));
+    if (json_is_true(json_object_get(said, "limits_lowered")))
+        amb_store_limits_lowered(&n->store, "another node says so");
     learn_cancellations(n, json_object_get(said, "cancelled"));
     p->term = (uint64_t)term;
     p->leading = leading;
@@ -272,7 +276,8 @@
 
 static bool same_facts(const struct amb_peer_facts *a, const struct amb_peer_facts *b) {
     return a->term == b->term && a->loaded == b->loaded && a->leading == b->leading &&
-           a->store_ok == b->store_ok && a->reports_arrive == b->reports_arrive;
+           a->store_ok == b->store_ok && a->reports_arrive == b->reports_arrive &&
+           a->limits_lowered == b->limits_lowered;
 }
 
 static bool still_says(const struct amb_node *n, const struct amb_peer_saying *s) {
--- a/lib/store.c
+++ b/lib/store.c
@@ -91,6 +91,7 @@
     struct amb_store *s = op->store;
     amb_ms now = amb_now();
     if (status == 429) s->held_until = now + s->call_timeout / 4;
+    if (status == 429 && op->writes) amb_store_limits_lowered(s, "too many changes");
     if (status == 0 || status == 503)
         s->failed_at = now;
     else if (status != 429)
@@ -243,6 +244,7 @@
     strcpy(s->addr, set->state);
     s->rps = set->state_rps;
     s->write_rps = set->state_write_rps;
+    s->lowered_write_rps = amb_settings_lowered_limits(set).write_rps;
     s->members = set->npeers + 1;
     s->call_timeout = call_timeout;
     s->requests.tokens = s->rps / s->members;
@@ -254,12 +256,22 @@
 void amb_store_share(struct amb_store *s, bool leading) {
     /* Requests: half of what there is goes to the leader, the other half to the other nodes alike. Writes:
      * half is for users, whichever node they come to, and half for what the leader records. */
+    s->leading = leading;
     double share = s->members == 1 ? 1.0 : leading ? 0.5 : 0.5 / (s->members - 1);
     amb_budget_rate(&s->requests, s->rps * share);
     amb_budget_rate(&s->writes, s->write_rps * (leading ? 0.5 : 0.5 / s->members));
     amb_budget_rate(&s->user_writes, s->write_rps * 0.5);
 }
 
+void amb_store_limits_lowered(struct amb_store *s, const char *sign) {
+    if (s->limits_lowered) return;
+    s->limits_lowered = true;
+    amb_info("state service: limits lowered, %g instead of %g changes a second: %s", s->lowered_write_rps,
+             s->write_rps, sign);
+    s->write_rps = s->lowered_write_rps;
+    amb_store_share(s, s->leading);
+}
+
 bool amb_store_can_write(struct amb_store *s, uint32_t n, double keep) {
     refill(s);
     return amb_now() >= s->held_until && !s->queue[AMB_URGENT_USER] && !amb_budget_wait(&s->requests, 1) &&
--- a/lib/tasks.c
+++ b/lib/tasks.c
@@ -41,18 +41,12 @@
 
 void amb_job_take(struct amb_node *node, struct amb_job *job) {
     if (job->live || !job->spec || !job->team) return;
-    uint32_t per = amb_record_tasks_per_block(&node->set);
     job->tasks = amb_alloc(job->spec->tasks * sizeof *job->tasks);
     for (uint32_t i = 0; i < job->spec->tasks; i++) {
         job->tasks[i].index = i;
         job->tasks[i].job = job;
     }
-    job->nblocks = (job->spec->tasks + per - 1) / per;
-    job->blocks = amb_alloc(job->nblocks * sizeof *job->blocks);
-    for (uint32_t i = 0; i < job->nblocks; i++) {
-        job->blocks[i].job = job;
-        job->blocks[i].index = i;
-    }
+    amb_record_job_taken(node, job);
     job->ndone = job->nbound = job->nrunning = job->first_waiting = 0;
     memset(job->zone_used, 0, sizeof job->zone_used);
     job->next_attempt = 1;
@@ -75,10 +69,8 @@
     if (job->next_live) job->next_live->prev_live = job->prev_live;
     node->jobs.task_count -= job->spec->tasks;
     node->jobs.room_made = node->jobs.left_out;
-    for (uint32_t i = 0; i < job->nblocks; i++) amb_buf_free(&job->blocks[i].value);
-    free(job->blocks);
+    amb_record_job_left(job);
     free(job->tasks);
-    job->blocks = NULL;
     job->tasks = NULL;
     job->live = false;
     if (job->state == AMB_JOB_DONE) {
--- /dev/null
+++ b/tests/fake_state.c
@@ -0,0 +1,254 @@
+#include "fake_state.h"
+#include "check.h"
+#include "fake_http.h"
+
+#include "amberpin/node.h"
+
+enum { KEYS = 1024, LATE = 64, STATUSES = 600 };
+
+struct key {
+    char name[256];
+    cbor_item_t *value;
+    uint64_t stamp;
+};
+
+static struct key keys[KEYS]; /* in their order */
+static size_t nkeys, nlate, largest;
+static cbor_item_t *late[LATE];
+static uint64_t epoch;
+static struct fake_state_limits limits;
+static uint32_t changes;
+static size_t answers[STATUSES];
+
+void fake_state_reset(void) {
+    for (size_t i = 0; i < nkeys; i++) cbor_decref(&keys[i].value);
+    for (size_t i = 0; i < nlate; i++) cbor_decref(&late[i]);
+    nkeys = nlate = largest = 0;
+    epoch = 100;
+    changes = 0;
+    limits = (struct fake_state_limits){.value_kb = 64};
+    memset(answers, 0, sizeof answers);
+}
+
+void fake_state_limits(struct fake_state_limits to) {
+    limits = to;
+}
+
+void fake_state_refill(void) {
+    changes = 0;
+}
+
+/* ---- keys ---- */
+
+static size_t place(const char *name) {
+    size_t i = 0;
+    while (i < nkeys && strcmp(keys[i].name, name) < 0) i++;
+    return i;
+}
+
+static struct key *find(const char *name) {
+    size_t i = place(name);
+    return i < nkeys && !strcmp(keys[i].name, name) ? &keys[i] : NULL;
+}
+
+static void set(const char *name, const cbor_item_t *value, uint64_t stamp) {
+    struct key *key = find(name);
+    if (!key) {
+        size_t i = place(name);
+        assert_true(nkeys < KEYS);
+        memmove(&keys[i + 1], &keys[i], (nkeys++ - i) * sizeof *keys);
+        key = &keys[i];
+        memset(key, 0, sizeof *key);
+        snprintf(key->name, sizeof key->name, "%s", name);
+    } else {
+        cbor_decref(&key->value);
+    }
+    key->value = cbor_incref((cbor_item_t *)value);
+    key->stamp = stamp;
+}
+
+static void unset(const char *name) {
+    struct key *key = find(name);
+    if (!key) return;
+    cbor_decref(&key->value);
+    size_t i = (size_t)(key - keys);
+    memmove(key, key + 1, (--nkeys - i) * sizeof *keys);
+}
+
+uint64_t fake_state_put(const char *name, const struct amb_buf *value) {
+    epoch++;
+    if (!value) {
+        unset(name);
+        return epoch;
+    }
+    cbor_item_t *item = amb_cbor_parse(value->data, value->len);
+    set(name, item, epoch);
+    cbor_decref(&item);
+    return epoch;
+}
+
+uint64_t fake_state_stamp(const char *name) {
+    const struct key *key = find(name);
+    return key ? key->stamp : 0;
+}
+
+const cbor_item_t *fake_state_value(const char *name) {
+    const struct key *key = find(name);
+    return key ? key->value : NULL;
+}
+
+const char *fake_state_key(const char *prefix, size_t index) {
+    for (size_t i = 0; i < nkeys; i++)
+        if (!strncmp(keys[i].name, prefix, strlen(prefix)) && !index--) return keys[i].name;
+    return NULL;
+}
+
+size_t fake_state_count(const char *prefix) {
+    size_t n = 0;
+    while (fake_state_key(prefix, n)) n++;
+    return n;
+}
+
+/* ---- sizes, written apart from the library's own count ---- */
+
+static size_t json_size(const cbor_item_t *item) {
+    char number[32];
+    if (cbor_isa_string(item)) return cbor_string_length(item) + 2;
+    if (cbor_isa_uint(item))
+        return (size_t)snprintf(number, sizeof number, "%llu", (unsigned long long)cbor_get_int(item));
+    size_t size = 2, count = 0;
+    if (cbor_isa_array(item)) {
+        count = cbor_array_size(item);
+        for (size_t i = 0; i < count; i++) size += json_size(amb_cbor_at(item, i));
+    } else if (cbor_isa_map(item)) {
+        count = cbor_map_size(item);
+        const struct cbor_pair *pairs = cbor_map_handle(item);
+        for (size_t i = 0; i < count; i++) size += json_size(pairs[i].key) + 2 + json_size(pairs[i].value);
+    } else {
+        size = 5;
+    }
+    return size + (count ? 2 * (count - 1) : 0); /* ", " between them */
+}
+
+/* ---- calls ---- */
+
+static const cbor_item_t *change_key(const cbor_item_t *change, char *name, size_t cap) {
+    const cbor_item_t *put = amb_cbor_get(change, "put");
+    assert_true(amb_cbor_str(put ? put : amb_cbor_get(change, "remove"), name, cap));
+    return put ? amb_cbor_get(change, "value") : NULL;
+}
+
+static bool within_limits(const cbor_item_t *then) {
+    if (limits.txn_ops && amb_cbor_len(then) > limits.txn_ops) return false;
+    for (size_t i = 0; i < amb_cbor_len(then); i++) {
+        char name[256];
+        const cbor_item_t *value = change_key(amb_cbor_at(then, i), name, sizeof name);
+        if (value && (double)json_size(value) > limits.value_kb * 1024) return false;
+    }
+    return true;
+}
+
+static bool guards_hold(const cbor_item_t *guards) {
+    for (size_t i = 0; i < amb_cbor_len(guards); i++) {
+        char name[256];
+        uint64_t stamp;
+        const cbor_item_t *guard = amb_cbor_at(guards, i);
+        assert_true(amb_cbor_str(amb_cbor_get(guard, "path"), name, sizeof name));
+        assert_true(amb_cbor_uint(amb_cbor_get(guard, "stamp"), &stamp));
+        if (fake_state_stamp(name) != stamp) return false;
+    }
+    return true;
+}
+
+/* The status that the transaction is answered with. */
+static int carry_out(const cbor_item_t *txn) {
+    const cbor_item_t *then = amb_cbor_get(txn, "then");
+    if (!within_limits(then)) return 400;
+    if (limits.burst && changes + amb_cbor_len(then) > limits.burst) return 429;
+    changes += (uint32_t)amb_cbor_len(then);
+    if (!guards_hold(amb_cbor_get(txn, "guards"))) return 409;
+    epoch++;
+    for (size_t i = 0; i < amb_cbor_len(then); i++) {
+        char name[256];
+        const cbor_item_t *value = change_key(amb_cbor_at(then, i), name, sizeof name);
+        if (!value) {
+            unset(name);
+            continue;
+        }
+        if (json_size(value) > largest) largest = json_size(value);
+        set(name, value, epoch);
+    }
+    return 200;
+}
+
+static void answer(struct fake_call *call, int status) {
+    struct amb_buf body = {0};
+    answers[status]++;
+    amb_w_map(&body, 2);
+    amb_w_str(&body, "epoch"), amb_w_uint(&body, epoch);
+    amb_w_str(&body, "failed"), amb_w_list(&body, 0);
+    fake_answer(call, status, &body);
+}
+
+static void answer_read(struct fake_call *call) {
+    const struct key *key = find(call->path + strlen("/store/"));
+    if (!key) {
+        answer(call, 404);
+        return;
+    }
+    struct amb_buf body = {0};
+    unsigned char *text = NULL;
+    size_t room = 0, len = cbor_serialize_alloc(key->value, &text, &room);
+    amb_w_map(&body, 2);
+    amb_w_str(&body, "stamp"), amb_w_uint(&body, key->stamp);
+    amb_w_str(&body, "value"), amb_buf_add(&body, text, len);
+    free(text);
+    answers[200]++;
+    fake_answer(call, 200, &body);
+}
+
+bool fake_state_serve(enum fake_fate fate) {
+    struct fake_call *call = fake_call_open("/commit"), *read = fake_call_open("/store/");
+    if (!call || (read && read < call)) call = read; /* calls are kept in their order */
+    if (!call) return false;
+    bool commit = call != read;
+    int status = commit && (fate == FAKE_CARRIED_OUT || fate == FAKE_ANSWER_LOST) ? carry_out(call->map) : 0;
+    if (commit && fate == FAKE_CARRIED_OUT_LATE) {
+        assert_true(nlate < LATE);
+        late[nlate++] = cbor_incref(call->map);
+    }
+    if (fate != FAKE_CARRIED_OUT)
+        fake_answer(call, 0, NULL);
+    else if (commit)
+        answer(call, status);
+    else
+        answer_read(call);
+    return true;
+}
+
+void fake_state_late(size_t *refused, size_t *carried_out) {
+    *refused = *carried_out = 0;
+    for (size_t i = 0; i < nlate; i++) {
+        int status = carry_out(late[i]);
+        *refused += status == 409;
+        *carried_out += status == 200;
+        cbor_decref(&late[i]);
+    }
+    nlate = 0;
+}
+
+size_t fake_state_answers(int status) {
+    return answers[status];
+}
+
+size_t fake_state_largest(void) {
+    return largest;
+}
+
+void fake_state_load_records(struct amb_node *node) {
+    const char *name;
+    for (size_t i = 0; (name = fake_state_key("b/", i)); i++) {
+        const struct key *key = find(name);
+        amb_record_load(node, key->name, key->value, key->stamp);
+    }
+}
--- a/tests/test_formats.c
+++ b/tests/test_formats.c
@@ -238,11 +238,49 @@
     end();
 }
 
+/* A node that has seen the lowered limits tells the others, which go by them from then on. */
+static void lowered_limits_are_told(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        bool leads, announced;
+        double own, users; /* changes a second then */
+    } rows[] = {
+        {"the leader", true, true, 300, 300},
+        {"another node", false, true, 100, 300},
+        {"nothing is announced", true, false, 500, 500},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin();
+        node->set.state_next.write_rps = rows[i].announced ? 600 : 0;
+        amb_store_init(&node->store, &node->set, 1000);
+        amb_store_share(&node->store, rows[i].leads);
+        json_t *before = amb_peer_answer(node, NULL);
+        assert_null(json_object_get(before, "limits_lowered"));
+        hear(0, 2);
+        assert_false(node->store.limits_lowered);
+        json_object_set_new(before, "limits_lowered", json_true());
+        amb_peer_heard(node, &node->peers.list[0], before, 0);
+        json_decref(before);
+        const struct amb_store *s = &node->store;
+        assert_true(s->limits_lowered);
+        if (s->writes.rate != rows[i].own || s->user_writes.rate != rows[i].users)
+            fail_msg("%s: %g of its own, %g for users", rows[i].what, s->writes.rate, s->user_writes.rate);
+        json_t *after = amb_peer_answer(node, NULL);
+        assert_true(json_is_true(json_object_get(after, "limits_lowered")));
+        json_decref(after);
+        hear(0, 2); /* a node that has not seen it yet takes nothing back */
+        amb_store_share(&node->store, !rows[i].leads);
+        assert_float_equal(s->user_writes.rate, rows[i].users, 1e-9);
+        end();
+    }
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {
         cmocka_unit_test(announced),         cmocka_unit_test(written_when_all_have_said_so),
         cmocka_unit_test(key_is_guarded),    cmocka_unit_test(in_use_once_written),
-        cmocka_unit_test(read_at_the_start),
+        cmocka_unit_test(read_at_the_start), cmocka_unit_test(lowered_limits_are_told),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/tests/test_record_layout.c
@@ -0,0 +1,272 @@
+/* The form of the records of placements and results: keys, sizes, which block counts, and the text of values.
+ * What the first format's rows say is what the version in production reads and writes. */
+#include "amberpin/cbor_reader.h"
+#include "amberpin/codec.h"
+#include "amberpin/record_layout.h"
+#include "check.h"
+#include "json_cbor.h"
+
+#define OLD AMB_LAYOUT_BY_SETTINGS
+#define NEW AMB_LAYOUT_BY_KEY
+
+static void sizes(void **state) {
+    (void)state;
+    static const struct {
+        enum amb_layout layout;
+        double value_kb;
+        uint32_t want;
+    } rows[] = {
+        {OLD, 16, 327}, {OLD, 8, 163}, {OLD, 2, 40}, {OLD, 1, 20}, {OLD, 0.01, 1},
+        {NEW, 16, 468}, {NEW, 8, 234}, {NEW, 2, 58}, {NEW, 1, 29}, {NEW, 0.01, 1},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        uint32_t got = amb_layout_tasks_per_block(rows[i].layout, rows[i].value_kb);
+        if (got != rows[i].want) fail_msg("row %zu: %u", i, got);
+    }
+}
+
+static void ranges(void **state) {
+    (void)state;
+    static const struct {
+        struct amb_block_id id;
+        uint32_t tasks, first, end;
+    } rows[] = {
+        {{OLD, 327, 0}, 500, 0, 327},
+        {{OLD, 327, 1}, 500, 327, 500},
+        {{NEW, 58, 0}, 1, 0, 1},
+        {{NEW, 58, 2}, 500, 116, 174},
+        {{NEW, 58, 2}, 116, 116, 116},
+        {{NEW, 58, 100000}, 500, 500, 500},
+        {{NEW, 100000, 100000}, 100000, 100000, 100000},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_task_range got = amb_layout_range(rows[i].id, rows[i].tasks);
+        if (got.first != rows[i].first || got.end != rows[i].end)
+            fail_msg("row %zu: %u to %u", i, got.first, got.end);
+    }
+}
+
+static void keys(void **state) {
+    (void)state;
+    static const struct {
+        const char *key, *ref; /* NULL: not a block's key */
+        struct amb_block_id id;
+    } rows[] = {
+        {"b/p/wk-000001/00003", "wk-000001", {OLD, 0, 3}},
+        {"b/n/wk-000001/000058/000003", "wk-000001", {NEW, 58, 3}},
+        {"b/n/wk-000001/000001/099999", "wk-000001", {NEW, 1, 99999}},
+        {"b/r/r-50-1", NULL, {0}},
+        {"b/p/wk-000001", NULL, {0}},
+        {"b/p/wk-000001/", NULL, {0}},
+        {"b/p/wk-000001/x", NULL, {0}},
+        {"b/p/wk-000001/-1", NULL, {0}},
+        {"b/p/wk-000001/00003/1", NULL, {0}},
+        {"b/p//00003", NULL, {0}},
+        {"b/n/wk-000001/00003", NULL, {0}},
+        {"b/n/wk-000001/000000/000003", NULL, {0}},
+        {"b/n/wk-000001/000058/4294967296", NULL, {0}},
+        {"b/n/wk-000001/000058/000003x", NULL, {0}},
+        {"b/p/1234567890123456789012345678901234567890123456789012345678901234/00003", NULL, {0}},
+        {"a/job/wk-000001", NULL, {0}},
+        {"", NULL, {0}},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        char ref[AMB_NAME] = "", key[AMB_BLOCK_KEY];
+        struct amb_block_id id;
+        bool ok = amb_layout_parse_key(rows[i].key, ref, &id);
+        if (ok != (rows[i].ref != NULL)) fail_msg("%s: %s", rows[i].key, ok ? "taken" : "refused");
+        if (!ok) continue;
+        assert_string_equal(ref, rows[i].ref);
+        assert_memory_equal(&id, &rows[i].id, sizeof id);
+        amb_layout_key(key, ref, id);
+        assert_string_equal(key, rows[i].key);
+    }
+}
+
+/* The block of fewer tasks counts, the first format's never over the second's; and a listing gives first what
+ * counts. */
+static void precedence(void **state) {
+    (void)state;
+    static const struct {
+        struct amb_block_id a, b;
+        bool precedes;
+    } rows[] = {
+        {{NEW, 58, 0}, {OLD, 327, 0}, true},   {{OLD, 327, 0}, {NEW, 58, 0}, false},
+        {{NEW, 58, 0}, {OLD, 40, 0}, true},    {{OLD, 40, 0}, {NEW, 58, 0}, false},
+        {{NEW, 29, 5}, {NEW, 58, 2}, true},    {{NEW, 58, 2}, {NEW, 29, 5}, false},
+        {{NEW, 9, 16}, {NEW, 100, 1}, true},   {{NEW, 58, 2}, {NEW, 58, 2}, false},
+        {{NEW, 58, 1}, {NEW, 58, 2}, false},   {{OLD, 327, 1}, {OLD, 327, 2}, false},
+        {{OLD, 163, 1}, {OLD, 327, 0}, false}, {{OLD, 327, 0}, {OLD, 163, 1}, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        if (amb_layout_precedes(rows[i].a, rows[i].b) != rows[i].precedes) fail_msg("row %zu", i);
+        char a[AMB_BLOCK_KEY], b[AMB_BLOCK_KEY];
+        amb_layout_key(a, "wk-000001", rows[i].a);
+        amb_layout_key(b, "wk-000001", rows[i].b);
+        if (rows[i].precedes && strcmp(a, b) >= 0) fail_msg("row %zu: %s is listed after %s", i, a, b);
+    }
+}
+
+static void placements(void **state) {
+    (void)state;
+    static const struct {
+        const char *text, *want; /* as task@machine/attempt:type.zone.spot */
+    } rows[] = {
+        {"", ""},
+        {"0,1,m-1,0,2,1;", "0@m-1/1:0.2.1 "},
+        {"0,1,m-1,0,0,0;7,12,m-000231,3,1,0;", "0@m-1/1:0.0.0 7@m-000231/12:3.1.0 "},
+        {"99999,18446744073709551615,m-1,0,0,0;", "99999@m-1/18446744073709551615:0.0.0 "},
+        {"0,1,m-1,-1,-1,0;", "0@m-1/1:-1.-1.0 "},
+        {"0,1,m-1,99,99,0;", "0@m-1/1:-1.-1.0 "},
+        {"0,1,m-1,0,0", ""},
+        {"0,1,m-1,0,0,0", ""},
+        {"0,1,m-1,0,0,0;1,", "0@m-1/1:0.0.0 "},
+        {"100000,1,m-1,0,0,0;", ""},
+        {"-1,1,m-1,0,0,0;", ""},
+        {"x,y,z;", ""},
+        {";", ""},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        const char *at = rows[i].text;
+        struct amb_placement p;
+        struct amb_buf got = {0};
+        while (amb_layout_next_placement(&at, &p))
+            amb_buf_fmt(&got, "%u@%s/%llu:%d.%d.%d ", p.task, p.machine, (unsigned long long)p.attempt,
+                        p.type, p.zone, p.spot);
+        amb_buf_add(&got, "", 1);
+        if (strcmp(got.data, rows[i].want)) fail_msg("'%s': %s", rows[i].text, got.data);
+        amb_buf_free(&got);
+    }
+}
+
+static void results(void **state) {
+    (void)state;
+    static const struct {
+        const char *text, *want;
+    } rows[] = {
+        {"", ""},          {"4;", "4-5 "},
+        {"4-4;", "4-5 "},  {"0-2;7-7;", "0-3 7-8 "},
+        {"4", ""},         {"4-", ""},
+        {"4-3;", ""},      {"-1;", ""},
+        {"0-1;x", "0-2 "}, {"99999;", "99999-100000 "},
+        {"100000;", ""},   {"5-200000;", "5-100000 "},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        const char *at = rows[i].text;
+        struct amb_task_range r;
+        struct amb_buf got = {0};
+        while (amb_layout_next_done(&at, &r)) amb_buf_fmt(&got, "%u-%u ", r.first, r.end);
+        amb_buf_add(&got, "", 1);
+        if (strcmp(got.data, rows[i].want)) fail_msg("'%s': %s", rows[i].text, got.data);
+        amb_buf_free(&got);
+    }
+}
+
+static struct amb_catalog *catalog(void) {
+    static struct amb_catalog names;
+    names = (struct amb_catalog){.ntypes = 2, .nzones = 2};
+    strcpy(names.types[0].name, "g8");
+    strcpy(names.types[1].name, "anboto-large");
+    strcpy(names.zones[0], "a");
+    strcpy(names.zones[1], "miribilla");
+    return &names;
+}
+
+static struct amb_buf value_of(struct amb_block_text *text) {
+    struct amb_buf value = {0};
+    const struct amb_block_head head = {
+        .wall_ms = 1700000000000, .write_id = "412-77", .next_attempt = 9, .catalog = catalog()};
+    amb_layout_value(&value, &head, text);
+    return value;
+}
+
+/* Byte for byte what the first version writes. */
+static void value(void **state) {
+    (void)state;
+    static const char want[] =
+        "{\"at\":1700000000000,\"w\":\"412-77\",\"n\":9,\"p\":\"5,8,m-000231,1,0,1;7,2,m-1,0,1,0;\","
+        "\"d\":\"0-4;6-6;\",\"t\":[\"g8\",\"anboto-large\"],\"z\":[\"a\",\"miribilla\"]}";
+    struct amb_block_text text = {0};
+    amb_layout_add_placement(&text, &(struct amb_placement){5, 8, "m-000231", 1, 0, true});
+    amb_layout_add_placement(&text, &(struct amb_placement){7, 2, "m-1", 0, 1, false});
+    amb_layout_add_done(&text, (struct amb_task_range){0, 5});
+    amb_layout_add_done(&text, (struct amb_task_range){6, 7});
+    struct amb_buf got = value_of(&text), expected = cbor_from_text(want);
+    assert_int_equal(got.len, expected.len);
+    assert_memory_equal(got.data, expected.data, got.len);
+    amb_buf_free(&got);
+    amb_buf_free(&expected);
+}
+
+/* Blocks full of placements: of the first format however long its entries are, of the second with those of a
+ * large fleet. */
+static void full_blocks_fit(void **state) {
+    (void)state;
+    static const struct {
+        enum amb_layout layout;
+        double value_kb;
+        const char *machine;
+        uint64_t attempt;
+    } rows[] = {
+        {OLD, 16, "m-000231-of-the-far", 100000},
+        {OLD, 8, "m-000231-of-the-far", 100000},
+        {OLD, 2, "m-000231-of-the-far", 100000},
+        {NEW, 16, "m-000231", 100},
+        {NEW, 8, "m-000231", 100},
+        {NEW, 2, "m-000231", 100},
+        {NEW, 1, "m-000231", 1},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_block_text text = {0};
+        uint32_t tasks = amb_layout_tasks_per_block(rows[i].layout, rows[i].value_kb);
+        for (uint32_t t = 0; t < tasks; t++) {
+            struct amb_placement p = {.task = 98000 + t, .attempt = rows[i].attempt, .type = 1, .zone = 1};
+            strcpy(p.machine, rows[i].machine);
+            amb_layout_add_placement(&text, &p);
+        }
+        struct amb_buf got = value_of(&text);
+        size_t size = amb_cbor_json_size(got.data, got.len);
+        if ((double)size > rows[i].value_kb * 1024) fail_msg("row %zu: %zu bytes", i, size);
+        amb_buf_free(&got);
+    }
+}
+
+/* Sizes are counted in JSON: never fewer bytes than it takes, with blanks after separators, and few more. */
+static void json_sizes(void **state) {
+    (void)state;
+    static const char *const rows[] = {
+        "{}",
+        "[]",
+        "\"\"",
+        "0",
+        "9223372036854775807",
+        "1700000000000",
+        "true",
+        "null",
+        "[1, 22, 333]",
+        "{\"a\": \"b\", \"c\": [], \"d\": {\"e\": 1000000}}",
+        "{\"p\": \"5,8,m-000231,1,0,1;7,2,m-1,0,1,0;\", \"n\": 12, \"z\": [\"a\", \"miribilla\"]}",
+        "\"a \\\" and a \\\\\"",
+        "{\"price\": 21.55}",
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_buf b = cbor_from_text(rows[i]);
+        size_t size = amb_cbor_json_size(b.data, b.len), want = strlen(rows[i]);
+        if (size < want || size > want + 32 + want / 4) fail_msg("%s: %zu of %zu", rows[i], size, want);
+        amb_buf_free(&b);
+    }
+    /* What the quick reader does not know is overestimated. */
+    static const char umlauts[] =
+        "\x68\xc3\xa4\xc3\xa4\xc3\xa4\xc3\xa4"; /* four letters, six bytes each in JSON */
+    assert_true(amb_cbor_json_size(umlauts, sizeof umlauts - 1) >= 2 + 4 * 6);
+    assert_true(amb_cbor_json_size("\xa2\x61", 2) >= 2);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(sizes),      cmocka_unit_test(ranges),          cmocka_unit_test(keys),
+        cmocka_unit_test(precedence), cmocka_unit_test(placements),      cmocka_unit_test(results),
+        cmocka_unit_test(value),      cmocka_unit_test(full_blocks_fit), cmocka_unit_test(json_sizes),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_upgrade_limits.c
@@ -0,0 +1,550 @@
+/* Records while the second format comes into use and the state service lowers its limits: one block of many
+ * tasks is replaced by several, and a leader may end between any two transactions. The state service is
+ * fake_state.c; a successor reads what stands there and must know all that its predecessor may have ordered.
+ */
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "fake_state.h"
+#include "node_fixture.h"
+
+#include "amberpin/record_layout.h"
+
+enum { TASKS = 200, MACHINES = 8, ROUNDS = 400, NEVER = 100000 };
+static const double VALUE_KB = 8, LOWERED_KB = 1;
+static const char JOB_KEY[] = "a/job/wk-1";
+static const char FORMAT_KEY[] = "a/format";
+
+static struct amb_job *job;
+static const char *machine_names = "m-%06u";
+
+/* ---- a leader ---- */
+
+static void put_text(const char *key, const char *field, uint64_t number) {
+    struct amb_buf value = {0};
+    amb_w_map(&value, 1);
+    amb_w_str(&value, field);
+    amb_w_uint(&value, number);
+    fake_state_put(key, &value);
+    amb_buf_free(&value);
+}
+
+/* A fresh process has won the lead and read all there is. */
+static void lead(double value_kb, double lowered_kb) {
+    fake_http_reset();
+    setup(NULL);
+    put_text("a/leader", "nonce", 1);
+    node->election.term = fake_state_stamp("a/leader");
+    node->election.ttl = 3600000000;
+    node->election.renewed_at = amb_now();
+    strcpy(node->set.member, "n-0");
+    strcpy(node->set.state, "state:1");
+    node->set.value_kb = value_kb;
+    node->set.state_next.value_kb = lowered_kb;
+    node->set.state_rps = node->set.state_write_rps = 3000;
+    node->set.state_next.write_rps = 2000;
+    node->peers.count = 1;   /* never heard of */
+    node->ctl.ready = false; /* the test places tasks, not the round */
+    amb_store_init(&node->store, &node->set, 1000);
+    amb_store_share(&node->store, true);
+    if (fake_state_value(FORMAT_KEY)) amb_format_key(node, fake_state_value(FORMAT_KEY));
+    job = add_job("wk-1", AMB_ARRAY, TASKS);
+    job->stamp = fake_state_stamp(JOB_KEY);
+    fake_state_load_records(node);
+}
+
+/* The process ends; calls that are open get this fate. */
+static void end_leader(enum fake_fate fate) {
+    node->election.role = AMB_ROLE_FOLLOWING;
+    do {
+        while (fake_state_serve(fate)) continue;
+        fake_clock_advance(2000); /* what waits for tokens is sent */
+    } while (fake_call_open(""));
+    fake_clock_reset();
+    fake_http_reset();
+    node->election.role = AMB_ROLE_LEADING; /* as the fixture takes it down */
+    teardown(NULL);
+}
+
+static void begin(void) {
+    fake_http_reset();
+    fake_clock_reset();
+    fake_state_reset();
+    fake_state_limits((struct fake_state_limits){.value_kb = VALUE_KB});
+    put_text(JOB_KEY, "a", 1);
+    lead(VALUE_KB, LOWERED_KB);
+}
+
+static struct amb_machine *machine(uint32_t i) {
+    char name[AMB_NAME];
+    snprintf(name, sizeof name, machine_names, i % MACHINES); /* NOLINT: one of the formats above */
+    return amb_machine_get(node, name, true);
+}
+
+static void place(uint32_t first, uint32_t end, uint32_t shift) {
+    for (uint32_t i = first; i < end; i++) {
+        struct amb_task *t = &job->tasks[i];
+        if (t->machine || t->done) continue;
+        amb_task_bind(node, t, machine(i + shift), job->next_attempt++, AMB_TASK_PLACED);
+        amb_record_dirty(node, t, true);
+    }
+}
+
+static void finish(uint32_t first, uint32_t end) {
+    for (uint32_t i = first; i < end; i++) {
+        struct amb_task *t = &job->tasks[i];
+        if (!t->machine || t->state == AMB_TASK_PLACED) continue;
+        amb_task_finish(node, t);
+        amb_task_unbind(node, t, "done");
+    }
+}
+
+/* Lost on its machine, and placed on another. */
+static void move(uint32_t i) {
+    struct amb_task *t = &job->tasks[i];
+    if (t->state == AMB_TASK_PLACED || t->done) return;
+    amb_task_unbind(node, t, "lost");
+    place(i, i + 1, 3);
+}
+
+static void pump(void) {
+    if (fake_state_value(FORMAT_KEY)) amb_format_key(node, fake_state_value(FORMAT_KEY)); /* news */
+    amb_format_tick(node, amb_now());
+    amb_record_pump(node);
+}
+
+/* ---- what a successor must know ---- */
+
+struct known {
+    enum amb_task_state state;
+    bool done, done_saved;
+    uint64_t attempt;
+    char machine[AMB_NAME];
+};
+
+static struct known known[TASKS];
+static uint64_t bound_attempts; /* higher than any that may have been ordered */
+
+static void remember(void) {
+    bound_attempts = 0;
+    for (uint32_t i = 0; i < TASKS; i++) {
+        const struct amb_task *t = &job->tasks[i];
+        known[i] = (struct known){t->state, t->done, t->done_saved, t->attempt, ""};
+        if (t->machine) strcpy(known[i].machine, t->machine->name);
+        if (t->state >= AMB_TASK_BOUND && t->machine && t->attempt >= bound_attempts)
+            bound_attempts = t->attempt + 1;
+    }
+}
+
+/* What was ordered, or may have been, is where it was; what was told to be done is done; nothing else is. A
+ * task that has gone may still be said to be where it was last. */
+static void check_known(const char *what, size_t when) {
+    for (uint32_t i = 0; i < TASKS; i++) {
+        const struct amb_task *t = &job->tasks[i];
+        const struct known *k = &known[i];
+        bool there = t->machine && !strcmp(t->machine->name, k->machine) && t->attempt == k->attempt;
+        if (k->done_saved && !t->done) fail_msg("%s, end %zu: task %u: its result is gone", what, when, i);
+        if (!k->done && t->done) fail_msg("%s, end %zu: task %u: never done", what, when, i);
+        if (k->state >= AMB_TASK_BOUND && k->machine[0] && !k->done && !there)
+            fail_msg("%s, end %zu: task %u: on %s by attempt %llu, known on %s by %llu", what, when, i,
+                     k->machine, (unsigned long long)k->attempt, t->machine ? t->machine->name : "none",
+                     (unsigned long long)t->attempt);
+        if (k->state == AMB_TASK_WAITING && !k->attempt && t->machine)
+            fail_msg("%s, end %zu: task %u: never placed", what, when, i);
+    }
+    if (job->next_attempt < bound_attempts) fail_msg("%s, end %zu: attempts would be used again", what, when);
+}
+
+/* Everything runs to its end, and nothing is left of it. */
+static void run_to_the_end(const char *what, size_t when) {
+    uint32_t round = 0;
+    for (; job->live && round < ROUNDS; round++) {
+        if (job->state == AMB_JOB_QUEUED) {
+            finish(0, TASKS);
+            place(0, TASKS, 1);
+        }
+        pump();
+        while (fake_state_serve(FAKE_CARRIED_OUT)) continue;
+        fake_clock_advance(2500);
+        fake_state_refill();
+    }
+    if (job->live || job->state != AMB_JOB_DONE) fail_msg("%s, end %zu: the job does not end", what, when);
+    if (fake_state_count("b/")) fail_msg("%s, end %zu: %s is left", what, when, fake_state_key("b/", 0));
+}
+
+/* ---- the days that are played ---- */
+
+enum { PHASES = 7, TURNS = 4 };
+
+struct day {
+    const char *what;
+    bool written;   /* the second format comes into use by its key; else by the first refusal */
+    bool lowered;   /* limits are lowered */
+    uint32_t burst; /* changes a second then */
+    const char *machines;
+};
+
+static void phase_begins(const struct day *day, int phase) {
+    switch (phase) {
+    case 0: place(0, 150, 0); break;
+    case 1:
+        if (day->written) put_text(FORMAT_KEY, "format", 2);
+        if (day->lowered)
+            fake_state_limits((struct fake_state_limits){LOWERED_KB, .txn_ops = 4, .burst = day->burst});
+        place(190, 192, 0);
+        break;
+    case 2:
+        finish(10, 12);
+        move(20);
+        break;
+    case 3: place(150, 161, 0); break;
+    case 4:
+        finish(0, 10);
+        finish(100, 150);
+        move(20);
+        move(21);
+        break;
+    case 5: move(60), place(161, 200, 0); break;
+    default: break;
+    }
+}
+
+struct odd { /* transactions, and reads, that are not just carried out and answered */
+    size_t at, count;
+    enum fake_fate fate;
+    size_t late_at; /* when what was kept is carried out */
+};
+
+static enum fake_fate fate_of(size_t served, const struct odd *odd) {
+    return odd && served >= odd->at && served - odd->at < odd->count ? odd->fate : FAKE_CARRIED_OUT;
+}
+
+/* Until `stop` transactions and reads have been served; how many were. */
+static size_t play(const struct day *day, size_t stop, const struct odd *odd) {
+    size_t served = 0, refused, carried_out;
+    for (int phase = 0; phase < PHASES; phase++) {
+        phase_begins(day, phase);
+        for (int turn = 0; turn < TURNS; turn++) {
+            pump();
+            while (fake_call_open("/")) {
+                if (served == stop) return served;
+                fake_state_serve(fate_of(served, odd));
+                served++;
+                if (odd && served == odd->late_at) fake_state_late(&refused, &carried_out);
+            }
+            fake_clock_advance(2500);
+            fake_state_refill();
+        }
+    }
+    return served;
+}
+
+static const struct day days[] = {
+    {"first format all along", .written = false, .lowered = false, .burst = 0, .machines = "m-%06u"},
+    {"second format, limits as they were", .written = true, .lowered = false, .burst = 0,
+     .machines = "m-%06u"},
+    {"second format, limits lowered", .written = true, .lowered = true, .burst = 0, .machines = "m-%06u"},
+    {"lowered before the format is written", .written = false, .lowered = true, .burst = 0,
+     .machines = "m-%06u"},
+    {"lowered in a burst", .written = true, .lowered = true, .burst = 2, .machines = "m-%06u"},
+    {"lowered in a burst, format not written", .written = false, .lowered = true, .burst = 2,
+     .machines = "m-%06u"},
+    {"names too long for a block of the usual size", .written = true, .lowered = true, .burst = 0,
+     .machines = "m-%06u-with-a-longer-name"},
+    {"names too long for the limits of now", .written = true, .lowered = true, .burst = 0,
+     .machines = "m-%06u-of-a-cloud-that-gives-its-machines-very-long-names"},
+};
+
+static void leader_ends_at_any_time(void **state) {
+    (void)state;
+    static const enum fake_fate fates[] = {FAKE_REQUEST_LOST, FAKE_ANSWER_LOST, FAKE_CARRIED_OUT_LATE};
+    for (size_t d = 0; d < ROWS(days); d++) {
+        machine_names = days[d].machines;
+        for (size_t f = 0; f < ROWS(fates); f++) {
+            size_t stop = 0, served;
+            do {
+                begin();
+                served = play(&days[d], stop, NULL);
+                remember();
+                end_leader(fates[f]);
+                lead(VALUE_KB, LOWERED_KB);
+                size_t refused, carried_out;
+                fake_state_late(&refused, &carried_out);
+                if (carried_out)
+                    fail_msg("%s, end %zu: a late transaction is carried out", days[d].what, stop);
+                check_known(days[d].what, stop);
+                if (days[d].written) node->peers.list[0].format = AMB_FORMAT_2; /* if it was not yet */
+                run_to_the_end(days[d].what, stop);
+                end_leader(FAKE_REQUEST_LOST);
+            } while (served == stop++);
+            if (stop < 8) fail_msg("%s: over after %zu transactions", days[d].what, stop);
+        }
+    }
+}
+
+/* Answers are lost, one or all for a while, and the transactions carried out some time later, or never. The
+ * leader stays to the end, or ends after the day. */
+static void answers_lost_at_any_time(void **state) {
+    (void)state;
+    static const struct {
+        enum fake_fate fate;
+        size_t count, later;
+    } rows[] = {
+        {FAKE_ANSWER_LOST, 1, NEVER},       {FAKE_REQUEST_LOST, 1, NEVER},   {FAKE_CARRIED_OUT_LATE, 1, 1},
+        {FAKE_CARRIED_OUT_LATE, 1, 2},      {FAKE_CARRIED_OUT_LATE, 1, 6},   {FAKE_CARRIED_OUT_LATE, 1, 12},
+        {FAKE_CARRIED_OUT_LATE, 1, NEVER},  {FAKE_ANSWER_LOST, 12, NEVER},   {FAKE_REQUEST_LOST, 12, NEVER},
+        {FAKE_CARRIED_OUT_LATE, 12, 12},    {FAKE_CARRIED_OUT_LATE, 12, 16}, {FAKE_CARRIED_OUT_LATE, 12, 24},
+        {FAKE_CARRIED_OUT_LATE, 12, NEVER},
+    };
+    for (size_t d = 0; d < ROWS(days); d++) {
+        machine_names = days[d].machines;
+        for (size_t r = 0; r < ROWS(rows); r++) {
+            size_t served = NEVER;
+            for (size_t at = 0; at < served; at++) {
+                const struct odd odd = {at, rows[r].count, rows[r].fate, at + rows[r].later};
+                for (int stays = 0; stays < 2; stays++) {
+                    begin();
+                    served = play(&days[d], NEVER, &odd);
+                    size_t refused, carried_out;
+                    fake_state_late(&refused, &carried_out);
+                    if (!stays) {
+                        remember();
+                        end_leader(FAKE_REQUEST_LOST);
+                        lead(VALUE_KB, LOWERED_KB);
+                        check_known(days[d].what, at);
+                    }
+                    run_to_the_end(days[d].what, at);
+                    end_leader(FAKE_REQUEST_LOST);
+                }
+            }
+        }
+    }
+}
+
+/* Which blocks stand there when the day is over, and what the state service refused on the way. Tasks 29 to
+ * 57 do not change, so that no small block holds them, and the old one stays for them. */
+static void what_is_written(void **state) {
+    (void)state;
+    static const struct {
+        size_t old_blocks, new_blocks;
+        bool sizes_refused, rates_refused, lowered;
+    } want[ROWS(days)] = {
+        {2, 0, false, false, false},  {1, 6, false, false, false}, {1, 6, false, false, false},
+        {2, 6, true, false, true},    {1, 6, false, true, true},   {2, 6, true, true, true},
+        {1, 12, false, false, false}, {0, 32, true, false, false},
+    };
+    for (size_t d = 0; d < ROWS(days); d++) {
+        machine_names = days[d].machines;
+        begin();
+        play(&days[d], NEVER, NULL);
+        const char *what = days[d].what;
+        size_t old = fake_state_count("b/p/"), new = fake_state_count("b/n/");
+        if (old != want[d].old_blocks || new != want[d].new_blocks)
+            fail_msg("%s: %zu old blocks, %zu new ones", what, old, new);
+        if ((fake_state_answers(400) > 0) != want[d].sizes_refused)
+            fail_msg("%s: %zu refused for their size", what, fake_state_answers(400));
+        if ((fake_state_answers(429) > 0) != want[d].rates_refused)
+            fail_msg("%s: %zu refused for their rate", what, fake_state_answers(429));
+        if (node->store.limits_lowered != want[d].lowered) fail_msg("%s: limits lowered", what);
+        if (node->store.write_rps != (want[d].lowered ? 2000 : 3000))
+            fail_msg("%s: %g changes a second", what, node->store.write_rps);
+        if (fake_state_answers(409)) fail_msg("%s: a guard failed", what);
+        if (node->election.role != AMB_ROLE_LEADING) fail_msg("%s: the lead was given up", what);
+        for (uint32_t i = 0; i < TASKS; i++)
+            if (job->tasks[i].state == AMB_TASK_PLACED) fail_msg("%s: task %u is not recorded", what, i);
+        end_leader(FAKE_REQUEST_LOST);
+    }
+}
+
+static void put_block(const char *key, const char *placed, const char *done) {
+    struct amb_block_text text = {0};
+    struct amb_buf value = {0};
+    amb_buf_str(&text.placed, placed);
+    amb_buf_str(&text.done, done);
+    const struct amb_block_head head = {.write_id = "1-1", .next_attempt = 10, .catalog = &node->catalog};
+    amb_layout_value(&value, &head, &text);
+    fake_state_put(key, &value);
+    amb_buf_free(&value);
+}
+
+/* Two blocks speak of a task: what the one says that counts, and nothing that the other does. */
+static void one_block_counts(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        struct {
+            const char *key, *placed, *done;
+        } blocks[4];
+        const char *want; /* task@machine/attempt, or task! for done */
+    } rows[] = {
+        {"an old block alone",
+         {{"b/p/wk-1/00000", "0,1,m-1,0,0,0;30,1,m-1,0,0,0;", "4-5;"}},
+         "0@m-1/1 4! 5! 30@m-1/1 "},
+        {"a new one says that a task is elsewhere",
+         {{"b/n/wk-1/000029/000000", "0,2,m-2,0,0,0;", ""}, {"b/p/wk-1/00000", "0,1,m-1,0,0,0;", ""}},
+         "0@m-2/2 "},
+        {"a new one says that it is nowhere",
+         {{"b/n/wk-1/000029/000000", "", ""}, {"b/p/wk-1/00000", "0,1,m-1,0,0,0;30,1,m-1,0,0,0;", ""}},
+         "30@m-1/1 "},
+        {"a new one says that it is done",
+         {{"b/n/wk-1/000029/000000", "", "0-0;"}, {"b/p/wk-1/00000", "0,1,m-1,0,0,0;1,1,m-1,0,0,0;", ""}},
+         "0! "},
+        {"three sizes",
+         {{"b/n/wk-1/000014/000001", "14,3,m-3,0,0,0;", ""},
+          {"b/n/wk-1/000029/000000", "0,2,m-2,0,0,0;14,2,m-2,0,0,0;", ""},
+          {"b/p/wk-1/00000", "0,1,m-1,0,0,0;14,1,m-1,0,0,0;28,1,m-1,0,0,0;29,1,m-1,0,0,0;", ""}},
+         "0@m-2/2 14@m-3/3 29@m-1/1 "},
+        {"a new one names tasks that it does not hold",
+         {{"b/n/wk-1/000029/000001", "0,2,m-2,0,0,0;30,2,m-2,0,0,0;", "1-2;"}},
+         "30@m-2/2 "},
+        {"an old one of other settings",
+         {{"b/p/wk-1/00009", "0,1,m-1,0,0,0;199,1,m-1,0,0,0;", ""}},
+         "0@m-1/1 199@m-1/1 "},
+    };
+    begin();
+    end_leader(FAKE_REQUEST_LOST);
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        fake_state_reset();
+        put_text(JOB_KEY, "a", 1);
+        put_text(FORMAT_KEY, "format", 2);
+        setup(NULL);
+        for (size_t b = 0; b < ROWS(rows[i].blocks) && rows[i].blocks[b].key; b++)
+            put_block(rows[i].blocks[b].key, rows[i].blocks[b].placed, rows[i].blocks[b].done);
+        teardown(NULL);
+        lead(VALUE_KB, LOWERED_KB);
+        struct amb_buf got = {0};
+        for (uint32_t t = 0; t < TASKS; t++) {
+            const struct amb_task *task = &job->tasks[t];
+            if (task->done) amb_buf_fmt(&got, "%u! ", t);
+            if (task->machine)
+                amb_buf_fmt(&got, "%u@%s/%llu ", t, task->machine->name, (unsigned long long)task->attempt);
+        }
+        amb_buf_add(&got, "", 1);
+        if (strcmp(got.data, rows[i].want)) fail_msg("%s: %s", rows[i].what, got.data);
+        assert_int_equal(job->next_attempt, 10);
+        amb_buf_free(&got);
+        run_to_the_end(rows[i].what, i);
+        end_leader(FAKE_REQUEST_LOST);
+    }
+}
+
+static void count_answer(void *arg, int status, const cbor_item_t *body) {
+    (void)body;
+    *(int *)arg = status;
+}
+
+/* Only a refused change shows that fewer are allowed. Whoever made it is told, and makes it again. */
+static void signs_of_a_lower_rate(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        enum amb_urgency urgency;
+        bool change;
+        int status;
+        bool lowered;
+    } rows[] = {
+        {"a change is refused", AMB_URGENT_PLACE, true, 429, true},
+        {"a user's change", AMB_URGENT_USER, true, 429, true},
+        {"a claim", AMB_URGENT_LEASE, true, 429, true},
+        {"a read is refused", AMB_URGENT_READ, false, 429, false},
+        {"an outage", AMB_URGENT_PLACE, true, 503, false},
+        {"no answer", AMB_URGENT_PLACE, true, 0, false},
+        {"a guard did not hold", AMB_URGENT_PLACE, true, 409, false},
+        {"malformed", AMB_URGENT_PLACE, true, 400, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin();
+        int status = -1;
+        if (rows[i].change) {
+            struct amb_txn txn = {0};
+            amb_txn_remove(&txn, "a/x");
+            amb_store_commit(&node->store, &txn, rows[i].urgency, count_answer, &status);
+        } else {
+            amb_store_get(&node->store, "a/x", rows[i].urgency, count_answer, &status);
+        }
+        struct fake_call *call = fake_call_open("/");
+        assert_non_null(call);
+        fake_answer(call, rows[i].status, NULL);
+        if (status != rows[i].status) fail_msg("%s: told %d", rows[i].what, status);
+        if (node->store.limits_lowered != rows[i].lowered) fail_msg("%s", rows[i].what);
+        if (node->formats.upgrade_over) fail_msg("%s: the upgrade is taken as over", rows[i].what);
+        end_leader(FAKE_REQUEST_LOST);
+    }
+}
+
+/* A block that the first version wrote is read whole, whatever limits the reader goes by. */
+static void old_blocks_are_read(void **state) {
+    (void)state;
+    static const struct {
+        double written_kb, read_kb, lowered_kb;
+        bool second_format;
+    } rows[] = {
+        {8, 8, 8, false},  {8, 8, 1, true},  {8, 2, 2, true}, {8, 1, 1, true},
+        {16, 16, 2, true}, {16, 2, 2, true}, {2, 2, 1, true}, {2, 8, 1, true},
+    };
+    machine_names = "m-%06u";
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin();
+        end_leader(FAKE_REQUEST_LOST);
+        fake_state_limits((struct fake_state_limits){.value_kb = 16});
+        lead(rows[i].written_kb, 0);
+        place(0, TASKS, 0);
+        pump();
+        while (fake_state_serve(FAKE_CARRIED_OUT)) continue;
+        uint32_t per = amb_layout_tasks_per_block(AMB_LAYOUT_BY_SETTINGS, rows[i].written_kb);
+        assert_int_equal(fake_state_count("b/p/"), (TASKS + per - 1) / per);
+        assert_int_equal(fake_state_count("b/n/"), 0);
+        remember();
+        end_leader(FAKE_REQUEST_LOST);
+        if (rows[i].second_format) put_text(FORMAT_KEY, "format", 2);
+        fake_state_limits((struct fake_state_limits){.value_kb = rows[i].lowered_kb});
+        lead(rows[i].read_kb, rows[i].lowered_kb);
+        check_known("old blocks", i);
+        for (uint32_t t = 0; t < TASKS; t++) assert_int_equal(job->tasks[t].state, AMB_TASK_BOUND);
+        run_to_the_end("old blocks", i);
+        if (fake_state_answers(400)) fail_msg("row %zu: %zu refused", i, fake_state_answers(400));
+        end_leader(FAKE_REQUEST_LOST);
+    }
+}
+
+/* As the version in production: it reads and writes the old layout only. */
+static void old_nodes_ignore_new_blocks(void **state) {
+    (void)state;
+    static const struct day day = {"", .written = true, .lowered = true, .burst = 0, .machines = "m-%06u"};
+    begin();
+    play(&day, NEVER, NULL);
+    assert_true(fake_state_count("b/n/") > 0);
+    assert_int_equal(fake_state_count("b/p/"), 1);
+    end_leader(FAKE_REQUEST_LOST);
+    lead(VALUE_KB, LOWERED_KB);
+    uint64_t moved = job->tasks[60].attempt;
+    amb_job_leave(node, job);
+    amb_fleet_clear(node);
+    node->formats.held_at = AMB_FORMAT_1;
+    fake_state_load_records(node);
+    assert_true(job->live);
+    assert_int_equal(job->layout, AMB_LAYOUT_BY_SETTINGS);
+    assert_int_equal(job->tasks_per_block, amb_record_tasks_per_block(&node->set));
+    assert_int_equal(job->nreplaced, 0);
+    assert_int_equal(job->tasks[60].attempt, 61); /* as the old block says */
+    assert_true(moved > 61);
+    place(161, 163, 0);
+    pump();
+    struct fake_call *commit = fake_call_open("/commit");
+    assert_non_null(commit);
+    assert_non_null(fake_txn_put(commit, "b/p/wk-1/00000", NULL));
+    end_leader(FAKE_REQUEST_LOST);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(leader_ends_at_any_time),
+        cmocka_unit_test(answers_lost_at_any_time),
+        cmocka_unit_test(what_is_written),
+        cmocka_unit_test(one_block_counts),
+        cmocka_unit_test(signs_of_a_lower_rate),
+        cmocka_unit_test(old_blocks_are_read),
+        cmocka_unit_test(old_nodes_ignore_new_blocks),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
