Part fleet.c into modules of one job; upward calls become events

fleet.c (755 lines) held the machines' table, what reports show, orders, held answers, the search for machines that don't report, and what time shows; twelve files of the library called one another in a circle.

Now machines.c (table and states), zones.c (what is heard of each zone), worker_api.c (requests), reports.c and task_reports.c (what the leader makes of them), orders.c, held_answers.c, seek.c and fleet.c (what time shows), of 39 to 204 lines, with whole names and a header each. The names of returned machines and held answers are private to their files. What a module has to tell upwards is a typed event that the controller hands on (events.h): lead won or lost, job known, machine known, machine gone, round wanted. peer_evidence.c holds what only reads the peers' last words, http_cbor.c the reply with a body of CBOR. A node that is put together by hand now calls amb_controller_attach (node_fixture.c, test_peer.c, the benchmark).

--- a/bench/world.c
+++ b/bench/world.c
@@ -379,6 +379,7 @@
 
 struct amb_node *world_node(const struct world_size *size, uint32_t member) {
     struct amb_node *node = amb_alloc(sizeof *node);
+    amb_controller_attach(node);
     amb_options_default(&node->opt);
     put_settings(&node->set, size, member);
     put_catalog(&node->catalog);
--- /dev/null
+++ b/include/amberpin/events.h
@@ -0,0 +1,35 @@
+/* What a module tells those above it. A module calls only what lies below; when something happens that others
+ * must act on it posts an event, and the node's handler (the controller's) hands it on at once. */
+#ifndef AMBERPIN_EVENTS_H
+#define AMBERPIN_EVENTS_H
+
+#include "amberpin/absence.h"
+
+struct amb_job;
+struct amb_machine;
+struct amb_node;
+
+enum amb_event_type {
+    AMB_EVENT_LEAD_WON,
+    AMB_EVENT_LEAD_LOST,     /* cause: why */
+    AMB_EVENT_JOB_KNOWN,     /* job: first heard of */
+    AMB_EVENT_MACHINE_KNOWN, /* machine: added to the leader's table */
+    AMB_EVENT_MACHINE_GONE,  /* machine: it and all on it are no more, by this proof; it is freed */
+    AMB_EVENT_ROUND_WANTED,  /* something changed that the leader's round should look at */
+};
+
+struct amb_event {
+    enum amb_event_type type;
+    enum amb_absence proof;
+    struct amb_job *job;
+    struct amb_machine *machine;
+    const char *cause;
+};
+
+typedef void (*amb_event_handler)(struct amb_node *node, const struct amb_event *event);
+
+void amb_event_post(struct amb_node *node, const struct amb_event *event);
+/* Posts AMB_EVENT_ROUND_WANTED. */
+void amb_controller_wake(struct amb_node *node);
+
+#endif
--- /dev/null
+++ b/include/amberpin/fleet.h
@@ -0,0 +1,28 @@
+/* The leader's care of its machines as time goes: the silent, the unproven, those that don't hear us, and the
+ * tasks that are proven off them. */
+#ifndef AMBERPIN_FLEET_H
+#define AMBERPIN_FLEET_H
+
+#include "amberpin/absence.h"
+#include "amberpin/machines.h"
+#include "amberpin/zones.h"
+
+struct amb_removed_machine;
+
+struct amb_fleet {
+    struct amb_machine *all;              /* by name (machines.h) */
+    struct amb_removed_machine *removed;  /* names that are never used again (machines.c) */
+    uint64_t reports_read;                /* tells the tasks that a report lists from the rest (reports.c) */
+    enum amb_zone_reach reach[AMB_ZONES]; /* (zones.h) */
+    amb_ms last_report_at;                /* when a worker last reported to this node, whatever it was told */
+};
+
+void amb_fleet_tick(struct amb_node *node, amb_ms now);
+/* Proven: the machine and all on it are no more. */
+void amb_machine_gone(struct amb_node *node, struct amb_machine *machine, enum amb_absence proof);
+/* Have nearly all machines shown our token, so that there is little left to learn? */
+bool amb_fleet_learned(const struct amb_node *node);
+/* The lead is over: nothing is known of any machine. */
+void amb_fleet_clear(struct amb_node *node);
+
+#endif
--- /dev/null
+++ b/include/amberpin/machines.h
@@ -0,0 +1,31 @@
+/* The leader's table of machines: what is known of each, and one function for every change of its state. */
+#ifndef AMBERPIN_MACHINES_H
+#define AMBERPIN_MACHINES_H
+
+#include "amberpin/loop.h"
+#include "amberpin/model.h"
+
+struct amb_node;
+
+/* The machine of this name; create: added if it is not in the table, unless it was there before (names are
+ * never used again: late copies of a returned machine's reports mean nothing). */
+struct amb_machine *amb_machine_get(struct amb_node *node, const char *name, bool create);
+/* Out of the table, and never in it again. It holds no task, and no answer of its is held. */
+void amb_machine_remove(struct amb_node *node, struct amb_machine *machine);
+/* All out of the table: their names may come again. */
+void amb_machines_clear(struct amb_node *node);
+/* The names of those that were removed are forgotten. */
+void amb_machines_forget_removed(struct amb_node *node);
+
+void amb_machine_state(struct amb_machine *machine, enum amb_machine_state to, const char *cause);
+/* The zone, when it was not known yet; the tasks that are on record there count in it from now on. */
+void amb_machine_learn_zone(struct amb_machine *machine, int zone);
+/* It is given no new task for so long. */
+void amb_machine_rest(struct amb_machine *machine, double seconds, const char *cause);
+/* It may be given work now. */
+bool amb_machine_usable(const struct amb_node *node, const struct amb_machine *machine, amb_ms now);
+
+bool amb_machine_has_image(const struct amb_machine *machine, const char *image);
+void amb_machine_use_image(struct amb_node *node, struct amb_machine *machine, const char *image, double gb);
+
+#endif
--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -2,15 +2,19 @@
 #ifndef AMBERPIN_NODE_H
 #define AMBERPIN_NODE_H
 
-#include "amberpin/absence.h"
 #include "amberpin/change_feed.h"
 #include "amberpin/election.h"
+#include "amberpin/events.h"
+#include "amberpin/fleet.h"
+#include "amberpin/held_answers.h"
 #include "amberpin/http.h"
 #include "amberpin/jobs.h"
 #include "amberpin/options.h"
+#include "amberpin/reports.h"
 #include "amberpin/settings.h"
 #include "amberpin/store.h"
 #include "amberpin/tasks.h"
+#include "amberpin/worker_api.h"
 
 struct amb_node;
 
@@ -53,44 +57,6 @@
 uint32_t amb_record_tasks_per_block(const struct amb_settings *s);
 void amb_record_encode(struct amb_node *n, const struct amb_block *k, struct amb_buf *out);
 
-/* ---- fleet: machines, reports, orders ---- */
-
-enum amb_sight { /* what the leader hears of a zone's machines */
-                 AMB_ZONE_HEARD,
-                 AMB_ZONE_DIM,  /* a good part of them is silent */
-                 AMB_ZONE_DARK, /* nearly all are, and not all zones' */
-};
-
-struct amb_fleet {
-    struct amb_machine *all;
-    struct amb_gone {
-        char name[AMB_NAME];
-        UT_hash_handle hh;
-    } * gone; /* names are never used again: late copies of their reports mean nothing */
-    uint64_t marks;
-    enum amb_sight sight[AMB_ZONES];
-    amb_ms last_report_at; /* when a worker last reported to this node, whatever it was told */
-};
-
-bool amb_fleet_dark(const struct amb_node *n, int zone);
-/* Have nearly all machines shown our token, so that there is little left to learn? */
-bool amb_fleet_learned(const struct amb_node *n);
-bool amb_fleet_request(struct amb_node *n, struct amb_http_req *req);
-/* What the leader makes of a report; orders are appended. False: the report shows a higher term. */
-bool amb_fleet_report(struct amb_node *n, const struct amb_report *r, amb_ms now, struct amb_order *orders,
-                      size_t cap, size_t *count);
-struct amb_machine *amb_machine_get(struct amb_node *n, const char *name, bool create);
-/* The zone, when it was not known yet; the tasks that are on record there count in it from now on. */
-void amb_machine_learn_zone(struct amb_machine *m, int zone);
-void amb_machine_state(struct amb_machine *m, enum amb_machine_state to, const char *cause);
-void amb_machine_gone(struct amb_node *n, struct amb_machine *m, enum amb_absence proof);
-void amb_fleet_tick(struct amb_node *n, amb_ms now);
-void amb_fleet_clear(struct amb_node *n);
-void amb_fleet_tell(struct amb_task *t); /* it may start now: its machine's answer need not wait any longer */
-bool amb_machine_usable(const struct amb_node *n, const struct amb_machine *m, amb_ms now);
-bool amb_machine_has_image(const struct amb_machine *m, const char *image);
-void amb_machine_use_image(struct amb_node *n, struct amb_machine *m, const char *image, double gb);
-
 /* ---- rental: the cloud ---- */
 
 struct amb_charter {
@@ -230,9 +196,10 @@
     amb_ms peak_at;
 };
 
+/* The events of the node's modules come to the controller: once, before anything else is done with it. */
+void amb_controller_attach(struct amb_node *n);
 void amb_controller_lead(struct amb_node *n);
 void amb_controller_stop(struct amb_node *n, const char *cause);
-void amb_controller_wake(struct amb_node *n); /* something changed that a round should look at */
 
 struct amb_node {
     struct amb_settings set;
@@ -248,10 +215,9 @@
     struct amb_peers peers;
     struct amb_controller ctl;
     struct amb_server *front, *side;
+    amb_event_handler on_event;
 };
 
 int amb_node_start(struct amb_node *n, char *err, size_t cap);
-void amb_reply_cbor(struct amb_http_req *req, int status, struct amb_buf *body,
-                    int retry_after_s); /* frees body */
 
 #endif
--- /dev/null
+++ b/include/amberpin/orders.h
@@ -0,0 +1,36 @@
+/* Orders to workers: those in the answer to a report, and the rule for a start; stops and the token also go
+ * by /commands, which may be carried out late. */
+#ifndef AMBERPIN_ORDERS_H
+#define AMBERPIN_ORDERS_H
+
+#include "amberpin/http.h"
+#include "amberpin/model.h"
+
+struct amb_node;
+
+enum { AMB_ORDERS_MAX = 256 /* in an answer */ };
+
+struct amb_orders {
+    struct amb_order *list;
+    size_t capacity, count;
+};
+
+/* Nothing is added to a full list: the rest goes out with the next report. */
+void amb_orders_add(struct amb_orders *orders, enum amb_op op, const char *ref, uint32_t index,
+                    uint64_t attempt, double grace_s);
+/* The task's start, if it may be ordered: in the answer to its machine's latest report. */
+void amb_orders_add_start(struct amb_node *node, struct amb_task *task, struct amb_orders *orders);
+/* Is every placement of the gang's attempt durable? None of its tasks may start before. */
+bool amb_gang_recorded(const struct amb_job *job);
+
+/* Answers a report under this term. */
+void amb_orders_answer(struct amb_http_req *req, uint64_t term, const struct amb_orders *orders);
+/* Answers a report that this node may not answer: to the leader, if one is known. */
+void amb_orders_redirect(struct amb_node *node, struct amb_http_req *req);
+/* Sends orders that may be carried out late, or none: our token alone. */
+void amb_orders_command(struct amb_node *node, const struct amb_machine *machine, uint64_t session,
+                        const struct amb_orders *orders);
+/* Stops need not wait for a report to answer. */
+void amb_orders_push_halts(struct amb_node *node, struct amb_machine *machine);
+
+#endif
--- /dev/null
+++ b/include/amberpin/task_reports.h
@@ -0,0 +1,19 @@
+/* What a report shows of one task: that it is at work, that it has exited, or by not naming it that it is
+ * gone. */
+#ifndef AMBERPIN_TASK_REPORTS_H
+#define AMBERPIN_TASK_REPORTS_H
+
+#include "amberpin/absence.h"
+#include "amberpin/orders.h"
+
+struct amb_node;
+
+/* The machine's report names a task. */
+void amb_task_listed(struct amb_node *node, struct amb_machine *machine, const struct amb_seen *listed,
+                     struct amb_report_evidence evidence, struct amb_orders *orders);
+/* A report with our token does not name this task of its machine, and proves it absent if it can have
+ * started. */
+void amb_task_unlisted(struct amb_node *node, struct amb_task *task, struct amb_report_evidence evidence,
+                       struct amb_orders *orders);
+
+#endif
--- /dev/null
+++ b/include/amberpin/worker_api.h
@@ -0,0 +1,12 @@
+/* Workers' requests. */
+#ifndef AMBERPIN_WORKER_API_H
+#define AMBERPIN_WORKER_API_H
+
+#include "amberpin/http.h"
+
+struct amb_node;
+
+/* False: it is no worker's request. */
+bool amb_fleet_request(struct amb_node *node, struct amb_http_req *req);
+
+#endif
--- /dev/null
+++ b/include/amberpin/zones.h
@@ -0,0 +1,25 @@
+/* What the leader hears of each zone's machines. When a good part of a zone falls silent together it is the
+ * network; when nearly all does, what boots there can't be reached either. */
+#ifndef AMBERPIN_ZONES_H
+#define AMBERPIN_ZONES_H
+
+#include "amberpin/loop.h"
+
+#include <stdbool.h>
+
+struct amb_node;
+
+enum amb_zone_reach {
+    AMB_ZONE_REACHED,
+    AMB_ZONE_DEGRADED,    /* a good part of its machines is silent */
+    AMB_ZONE_UNREACHABLE, /* nearly all are, and not all zones' */
+};
+
+void amb_zones_tick(struct amb_node *node, amb_ms now);
+/* Nothing is known of any. */
+void amb_zones_clear(struct amb_node *node);
+/* zone -1 (unknown): reached. */
+enum amb_zone_reach amb_zone_reach(const struct amb_node *node, int zone);
+bool amb_zone_unreachable(const struct amb_node *node, int zone);
+
+#endif
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -35,7 +35,7 @@
     if (started) amb_record_pump(n);
 }
 
-void amb_controller_wake(struct amb_node *n) {
+static void want_round(struct amb_node *n) {
     n->ctl.round_wanted = true;
     if (!n->ctl.ready || n->ctl.round_timer.slot) return;
     /* A moment's patience lets news that comes together be handled together. */
@@ -141,6 +141,25 @@
     amb_fleet_clear(n);
 }
 
+/* ---- events ---- */
+
+static void hand_on(struct amb_node *n, const struct amb_event *event) {
+    switch (event->type) {
+    case AMB_EVENT_LEAD_WON: amb_controller_lead(n); break;
+    case AMB_EVENT_LEAD_LOST: amb_controller_stop(n, event->cause); break;
+    case AMB_EVENT_JOB_KNOWN: amb_plan_demand(n, event->job); break;
+    case AMB_EVENT_MACHINE_KNOWN: amb_peer_recall_images(n, event->machine); break;
+    case AMB_EVENT_MACHINE_GONE: amb_machine_gone(n, event->machine, event->proof); break;
+    case AMB_EVENT_ROUND_WANTED: want_round(n); break;
+    }
+}
+
+void amb_controller_attach(struct amb_node *n) {
+    n->on_event = hand_on;
+}
+
+/* ---- the leader's turns ---- */
+
 static void tick(void *arg) {
     struct amb_node *n = arg;
     struct amb_controller *c = &n->ctl;
@@ -160,22 +179,15 @@
         amb_info("controller: ready to place, %lld ms after the lead was won",
                  (long long)(now - c->leading_since));
         c->ready = true;
-        amb_controller_wake(n);
+        want_round(n);
     }
     amb_fleet_tick(n, now);
-    if (c->ready && (c->round_wanted || now - c->round_at > amb_secs(n->ctl.beat_s * 0.5)))
-        amb_controller_wake(n);
+    if (c->ready && (c->round_wanted || now - c->round_at > amb_secs(n->ctl.beat_s * 0.5))) want_round(n);
     amb_record_pump(n);
 }
 
 /* ---- the front ---- */
 
-void amb_reply_cbor(struct amb_http_req *req, int status, struct amb_buf *body, int retry_after_s) {
-    amb_http_reply(req, status, "application/cbor", body ? body->data : NULL, body ? body->len : 0,
-                   retry_after_s);
-    if (body) amb_buf_free(body);
-}
-
 static bool healthy(struct amb_node *n) {
     amb_ms now = amb_now();
     if (!n->jobs.loaded) return false;
@@ -200,6 +212,7 @@
 enum { USER_BODY_MAX = 64 * 1024 }; /* the protocol's limit, workers' too */
 
 int amb_node_start(struct amb_node *n, char *err, size_t cap) {
+    amb_controller_attach(n);
     n->ctl.beat_s = amb_settings_beat(&n->set);
     amb_election_init(n);
     amb_store_init(&n->store, &n->set, amb_election_patience(n));
--- a/lib/election.c
+++ b/lib/election.c
@@ -207,11 +207,11 @@
     case AMB_ELECTION_DROP_LEASE: amb_store_drop(store, action->lease); break;
     case AMB_ELECTION_LEAD_WON:
         amb_store_share(store, true);
-        amb_controller_lead(n);
+        amb_event_post(n, &(struct amb_event){.type = AMB_EVENT_LEAD_WON});
         break;
     case AMB_ELECTION_LEAD_LOST:
         amb_store_share(store, false);
-        amb_controller_stop(n, cause);
+        amb_event_post(n, &(struct amb_event){.type = AMB_EVENT_LEAD_LOST, .cause = cause});
         break;
     }
 }
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -1,7 +1,6 @@
 /* The table of all jobs: what the state service says of each, and the changes of a job's state. */
 #include "amberpin/log.h"
 #include "amberpin/node.h"
-#include "amberpin/plan.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -113,7 +112,8 @@
     /* A user's submission or cancellation, at whichever node. */
     if (node->jobs.loaded && (fresh || to == AMB_JOB_CANCELLED)) amb_store_user_wrote(&node->store);
     job_state(node, job, to);
-    if (node->jobs.loaded && fresh) amb_plan_demand(node, job);
+    if (node->jobs.loaded && fresh)
+        amb_event_post(node, &(struct amb_event){.type = AMB_EVENT_JOB_KNOWN, .job = job});
     if (amb_holds_lead(node) && node->ctl.loaded_at && fresh && to == AMB_JOB_QUEUED) {
         amb_job_take_if_room(node, job);
         amb_controller_wake(node);
--- /dev/null
+++ b/lib/machines.c
@@ -0,0 +1,108 @@
+#include "amberpin/machines.h"
+
+#include "amberpin/events.h"
+#include "amberpin/log.h"
+#include "amberpin/node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct amb_removed_machine {
+    char name[AMB_NAME];
+    UT_hash_handle hh;
+};
+
+/* ---- the table ---- */
+
+static bool was_removed(const struct amb_node *node, const char *name) {
+    struct amb_removed_machine *removed;
+    HASH_FIND_STR(node->fleet.removed, name, removed);
+    return removed != NULL;
+}
+
+struct amb_machine *amb_machine_get(struct amb_node *node, const char *name, bool create) {
+    struct amb_machine *machine;
+    HASH_FIND_STR(node->fleet.all, name, machine);
+    if (machine || !create || was_removed(node, name) || strlen(name) >= AMB_NAME) return machine;
+    machine = amb_alloc(sizeof *machine);
+    strcpy(machine->name, name);
+    machine->state = AMB_MACHINE_UNPROVEN;
+    machine->type = machine->zone = machine->kept_for = -1;
+    machine->known_at = machine->first_at = machine->state_at = machine->idle_since = amb_now();
+    HASH_ADD_STR(node->fleet.all, name, machine);
+    amb_event_post(node, &(struct amb_event){.type = AMB_EVENT_MACHINE_KNOWN, .machine = machine});
+    return machine;
+}
+
+void amb_machine_remove(struct amb_node *node, struct amb_machine *machine) {
+    struct amb_removed_machine *removed = amb_alloc(sizeof *removed);
+    strcpy(removed->name, machine->name);
+    HASH_ADD_STR(node->fleet.removed, name, removed);
+    HASH_DEL(node->fleet.all, machine);
+    free(machine);
+}
+
+void amb_machines_clear(struct amb_node *node) {
+    struct amb_machine *machine, *next;
+    HASH_ITER(hh, node->fleet.all, machine, next) {
+        /* NOLINTNEXTLINE(clang-analyzer-*): the head moves in HASH_DEL, which the analyzer does not see */
+        HASH_DEL(node->fleet.all, machine);
+        free(machine);
+    }
+}
+
+void amb_machines_forget_removed(struct amb_node *node) {
+    struct amb_removed_machine *removed, *next;
+    HASH_ITER(hh, node->fleet.removed, removed, next) {
+        /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the head moves in HASH_DEL */
+        HASH_DEL(node->fleet.removed, removed);
+        free(removed);
+    }
+}
+
+/* ---- one machine ---- */
+
+void amb_machine_state(struct amb_machine *machine, enum amb_machine_state to, const char *cause) {
+    static const char *const names[] = {"booting", "unproven", "up", "silent", "releasing"};
+    if (machine->state == to) return;
+    /* A release that was asked for may still be carried out. */
+    if (machine->state == AMB_MACHINE_RELEASING) return;
+    amb_info("machine %s: %s -> %s: %s", machine->name, names[machine->state], names[to], cause);
+    machine->state = to;
+    machine->state_at = amb_now();
+}
+
+void amb_machine_learn_zone(struct amb_machine *machine, int zone) {
+    if (machine->zone >= 0 || zone < 0) return;
+    machine->zone = zone;
+    for (struct amb_task *task = machine->tasks; task; task = task->next) task->job->zone_used[zone]++;
+}
+
+void amb_machine_rest(struct amb_machine *machine, double seconds, const char *cause) {
+    amb_ms until = amb_now() + amb_secs(seconds);
+    if (until > machine->avoid_until) machine->avoid_until = until;
+    amb_info("machine %s: no new tasks for %g s: %s", machine->name, seconds, cause);
+}
+
+bool amb_machine_usable(const struct amb_node *node, const struct amb_machine *machine, amb_ms now) {
+    return machine->state == AMB_MACHINE_UP && !machine->release_wanted && !machine->drain &&
+           !machine->notice_until && now >= machine->avoid_until && machine->type >= 0 &&
+           machine->zone >= 0 && now - machine->reported_at < amb_secs(node->set.report_s * 3);
+}
+
+bool amb_machine_has_image(const struct amb_machine *machine, const char *image) {
+    for (uint32_t i = 0; i < machine->nimages; i++)
+        if (!strcmp(machine->images[i], image)) return true;
+    return false;
+}
+
+/* What the machine's cache is thought to hold: the most recently used images that fit in it. */
+void amb_machine_use_image(struct amb_node *node, struct amb_machine *machine, const char *image, double gb) {
+    if (amb_latest_first(machine->images, machine->image_gb, &machine->nimages, AMB_IMAGES, image, gb))
+        machine->images_changed = true;
+    double room = machine->type >= 0 ? node->catalog.types[machine->type].cache_gb : 0;
+    for (uint32_t i = 0; room > 0 && i < machine->nimages; i++) {
+        room -= machine->image_gb[i];
+        if (room < 0 && i) machine->nimages = i;
+    }
+}
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -19,50 +19,10 @@
     return n->store.ok_at > n->store.failed_at || now - n->store.failed_at > (amb_ms)(n->set.report_s * 3000);
 }
 
-bool amb_peer_store_ok(const struct amb_node *n, amb_ms now) {
-    for (uint32_t i = 0; i < n->peers.count; i++) {
-        const struct amb_peer *p = &n->peers.list[i];
-        if (p->store_ok && now - p->heard_at < (amb_ms)(n->set.report_s * 3000)) return true;
-    }
-    return false;
-}
-
-amb_ms amb_peer_confirmed(const struct amb_node *n, amb_ms now) {
-    amb_ms oldest = now;
-    for (uint32_t i = 0; i < n->peers.count; i++) {
-        const struct amb_peer *p = &n->peers.list[i];
-        if (p->confirmed_at < oldest) oldest = p->confirmed_at;
-    }
-    return oldest;
-}
-
-/* A node that knows our term and does not lead answers no report under an older one, nor can it ever again:
- * it would have to be elected, under a newer. */
-amb_ms amb_peer_quiet(const struct amb_node *n) {
-    amb_ms since = n->ctl.leading_since;
-    for (uint32_t i = 0; i < n->peers.count; i++) {
-        const struct amb_peer *p = &n->peers.list[i];
-        if (p->quiet_term != n->election.term) return 0;
-        if (p->quiet_at > since) since = p->quiet_at;
-    }
-    return since;
-}
-
 static amb_ms patience(const struct amb_node *n) {
     return (amb_ms)(n->set.report_s * 3000);
 }
 
-bool amb_peer_better_placed(const struct amb_node *n, amb_ms now) {
-    bool heard = false;
-    for (uint32_t i = 0; i < n->peers.count; i++) {
-        const struct amb_peer *p = &n->peers.list[i];
-        if (now - p->heard_at > patience(n)) continue;
-        heard = true;
-        if (p->reports_arrive) return true;
-    }
-    return n->peers.count && !heard;
-}
-
 /* A cancellation is listed if it is newer than `epoch` (up to which the asker knows all), or newer than
  * `wall` in the time of day; 0: not by this measure. */
 static json_t *cancellations(const struct amb_node *n, uint64_t epoch, int64_t wall) {
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -55,7 +55,7 @@
             int z = amb_catalog_zone(&n->catalog, type->zones[k]);
             for (int spot = 0; spot <= (int)w->spot; spot++) {
                 struct amb_slot s = {.type = (int)t, .zone = z, .spot = spot, .usable = true, .kept_for = -1};
-                if (z < 0 || !amb_place_allowed(w, &s) || amb_fleet_dark(n, z) ||
+                if (z < 0 || !amb_place_allowed(w, &s) || amb_zone_unreachable(n, z) ||
                     amb_rental_refused(n, (int)t, z, spot, r->now))
                     continue;
                 double cost = (spot ? type->spot_price : type->price) / fmin(times, most ? most : 1);
--- a/lib/rental.c
+++ b/lib/rental.c
@@ -300,6 +300,10 @@
 
 /* ---- returns ---- */
 
+static void post_gone(struct amb_node *n, struct amb_machine *m, enum amb_absence proof) {
+    amb_event_post(n, &(struct amb_event){.type = AMB_EVENT_MACHINE_GONE, .machine = m, .proof = proof});
+}
+
 void amb_rental_release(struct amb_node *n, struct amb_machine *m, const char *cause) {
     if (m->release_wanted) return;
     m->release_wanted = true;
@@ -323,7 +327,7 @@
     }
     for (uint32_t i = 0; i < r->nrelease; i++) {
         struct amb_machine *m = amb_machine_get(n, r->release_names[i], false);
-        if (m) amb_machine_gone(n, m, AMB_ABSENCE_RETURNED);
+        if (m) post_gone(n, m, AMB_ABSENCE_RETURNED);
     }
     r->nrelease = 0;
 }
@@ -398,7 +402,7 @@
                                                    .reported_at = m->reported_at,
                                                    .last_named_at = m->listed_at};
         enum amb_absence proof = amb_absence_by_list(&evidence);
-        if (amb_absence_proven(proof)) amb_machine_gone(n, m, proof);
+        if (amb_absence_proven(proof)) post_gone(n, m, proof);
     }
 }
 
--- a/lib/round.c
+++ b/lib/round.c
@@ -83,12 +83,12 @@
             m->state == AMB_MACHINE_UNPROVEN && r->now - m->reported_at < amb_secs(r->n->set.report_s * 3);
         /* Nor does what boots where nothing can be reached. (In a cut of 105 s work waited for machines that
          * had been rented beyond it, for two boot times each.) */
-        if ((soon || fresh) && !amb_fleet_dark(r->n, m->zone)) add_machine(r, m, true);
+        if ((soon || fresh) && !amb_zone_unreachable(r->n, m->zone)) add_machine(r, m, true);
     }
     if (!booting) return;
     for (struct amb_charter *c = r->n->rental.charters; c; c = c->next)
         if ((c->state == AMB_CHARTER_RECORDING || c->state == AMB_CHARTER_ASKING) &&
-            !amb_fleet_dark(r->n, c->zone))
+            !amb_zone_unreachable(r->n, c->zone))
             for (uint32_t i = 0; i < c->count; i++) amb_round_add_type(r, c->type, c->zone, c->spot);
 }
 
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -26,6 +26,7 @@
     (void)state;
     amb_loop_init();
     node = amb_alloc(sizeof *node);
+    amb_controller_attach(node);
     amb_options_default(&node->opt);
     node->set.nteams = 1;
     node->set.report_s = 1;
@@ -60,12 +61,7 @@
         free(j->spec);
         free(j);
     }
-    struct amb_gone *g, *gn;
-    HASH_ITER(hh, node->fleet.gone, g, gn) {
-        /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the head moves in HASH_DEL */
-        HASH_DEL(node->fleet.gone, g);
-        free(g);
-    }
+    amb_machines_forget_removed(node);
     amb_peer_forget(node);
     free(node);
     return 0;
--- a/tests/test_machines.c
+++ b/tests/test_machines.c
@@ -143,7 +143,8 @@
         node->deputy.known[0].zone = 1;
         node->deputy.known[0].present = rows[i].deputy;
         amb_fleet_tick(node, now);
-        if (amb_fleet_dark(node, 1) != rows[i].dark || amb_fleet_dark(node, 0)) fail_msg("%s", rows[i].what);
+        if (amb_zone_unreachable(node, 1) != rows[i].dark || amb_zone_unreachable(node, 0))
+            fail_msg("%s", rows[i].what);
     }
 }
 
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -70,6 +70,7 @@
     ncalls = 0;
     amb_loop_init();
     node = amb_alloc(sizeof *node);
+    amb_controller_attach(node);
     amb_options_default(&node->opt);
     strcpy(node->set.member, "n0");
     node->set.npeers = 2;
