--- a/lib/pipelines.c
+++ b/lib/pipelines.c
@@ -2,7 +2,6 @@
 
 #include "amberpin/log.h"
 #include "amberpin/node.h"
-#include "amberpin/plan.h"
 
 /* Estimates are often wrong by half. */
 static const double ESTIMATE_ERROR = 1.5;
