Leader told of a cancellation before the user is

Cause: the leader's news came late (slow or lost answers of the state service), while another node had written a cancellation and told its user.

Ruled out: the user's answer waiting for the leader, or a fresh read before each order.

Change: a node says to the leader that it is about to write a cancellation, and again as it tells the user. Nothing waits for a notice.

--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -146,6 +146,8 @@
     struct amb_team *team;
     int64_t accepted_wall, cancelled_wall;
     uint64_t cancel_stamp; /* of its cancellation, known from news, our own write or another node; 0: none */
+    amb_ms cancel_pending_at; /* when a node was last known to be about to write its cancellation; 0: never */
+    bool cancel_noticed;      /* the leader was told of its cancellation, as this node told a user of it */
     uint32_t shown_done, shown_running; /* as the leader last said */
     bool shown_changed;
     bool demand_noted; /* as one of its class that came */
--- /dev/null
+++ b/lib/cancel_notice.c
@@ -0,0 +1,69 @@
+#include "amberpin/cancel_notice.h"
+
+#include "amberpin/log.h"
+#include "amberpin/node.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char PATH[] = "/peer/cancellation";
+
+/* Whoever writes a cancellation gives its call up after one call timeout; it may have waited as long for its
+ * turn to be sent. */
+enum { PENDING_CALL_TIMEOUTS = 2 };
+
+/* Nothing waits for it. */
+static void answered(void *arg, int status, const char *body, size_t len) {
+    (void)arg, (void)status, (void)body, (void)len;
+}
+
+static void send_to(struct amb_node *node, const struct amb_peer *peer, const char *text) {
+    amb_http_call(peer->addr, "POST", PATH, "application/json", text, strlen(text),
+                  (amb_ms)(node->set.report_s * 1000), answered, NULL);
+}
+
+/* To the leader; to all when nobody is known to lead. `stamp` 0: it is not written yet. */
+static void send_notice(struct amb_node *node, const struct amb_job *job, uint64_t stamp) {
+    if (amb_holds_lead(node)) return;
+    json_t *notice = json_pack("{s:s, s:I, s:I}", "ref", job->ref, "wall", (json_int_t)job->cancelled_wall,
+                               "stamp", (json_int_t)stamp);
+    char *text = json_dumps(notice, JSON_COMPACT);
+    json_decref(notice);
+    const struct amb_peers *peers = &node->peers;
+    bool leader_known = false;
+    for (uint32_t i = 0; i < peers->count; i++) leader_known |= peers->list[i].leading;
+    for (uint32_t i = 0; i < peers->count; i++)
+        if (peers->list[i].leading || !leader_known) send_to(node, &peers->list[i], text);
+    free(text);
+}
+
+void amb_cancel_notice_pending(struct amb_node *node, struct amb_job *job) {
+    job->cancel_pending_at = amb_now();
+    send_notice(node, job, 0);
+}
+
+void amb_cancel_notice_told(struct amb_node *node, struct amb_job *job) {
+    if (job->cancel_noticed) return;
+    job->cancel_noticed = true;
+    send_notice(node, job, job->cancel_stamp);
+}
+
+bool amb_cancel_notice_received(struct amb_node *node, const json_t *notice) {
+    const char *ref = json_string_value(json_object_get(notice, "ref"));
+    const json_t *wall = json_object_get(notice, "wall"), *stamp = json_object_get(notice, "stamp");
+    if (!ref || !json_is_integer(wall) || !json_is_integer(stamp) || json_integer_value(stamp) < 0)
+        return false;
+    struct amb_job *job = amb_job_find(node, ref);
+    if (json_integer_value(stamp))
+        amb_job_cancel_hint(node, ref, json_integer_value(wall), (uint64_t)json_integer_value(stamp));
+    else if (job)
+        job->cancel_pending_at = amb_now();
+    return true;
+}
+
+bool amb_cancel_is_pending(const struct amb_node *node, const struct amb_job *job) {
+    if (!job->cancel_pending_at) return false;
+    amb_ms decided_at = job->cancel_pending_at + PENDING_CALL_TIMEOUTS * node->store.call_timeout;
+    return node->jobs.fresh_sent_at <= decided_at;
+}
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -1,3 +1,4 @@
+#include "amberpin/cancel_notice.h"
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 #include "amberpin/place.h"
@@ -274,6 +275,7 @@
     struct amb_job *j = t->job;
     if (!amb_may_start(n) || !n->ctl.ready || m->release_wanted || m->state == AMB_MACHINE_RELEASING) return;
     if (j->spec->kind == AMB_GANG && !gang_recorded(j)) return;
+    if (amb_cancel_is_pending(n, j)) return;
     t->sent = true;
     order(a, AMB_OP_RUN, j->ref, t->index, t->attempt, 0);
 }
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -1,3 +1,4 @@
+#include "amberpin/cancel_notice.h"
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 
@@ -381,12 +382,14 @@
     }
 }
 
-static void request(void *arg, struct amb_http_req *req) {
-    struct amb_node *n = arg;
-    if (strcmp(req->path, "/peer/heartbeat")) {
-        amb_http_reply(req, 404, NULL, NULL, 0, 0);
-        return;
-    }
+static void receive_cancel_notice(struct amb_node *n, struct amb_http_req *req) {
+    json_t *notice = strcmp(req->method, "POST") ? NULL : json_loadb(req->body, req->body_len, 0, NULL);
+    bool understood = amb_cancel_notice_received(n, notice);
+    json_decref(notice);
+    amb_http_reply(req, understood ? 200 : 400, NULL, NULL, 0, 0);
+}
+
+static void receive_heartbeat(struct amb_node *n, struct amb_http_req *req) {
     json_t *j = strcmp(req->method, "POST") ? NULL : read_heartbeat(n, req->body, req->body_len);
     const char *from = json_string_value(json_object_get(j, "from"));
     if (!from) {
@@ -406,6 +409,16 @@
     json_decref(j);
 }
 
+static void request(void *arg, struct amb_http_req *req) {
+    struct amb_node *n = arg;
+    if (!strcmp(req->path, "/peer/heartbeat"))
+        receive_heartbeat(n, req);
+    else if (!strcmp(req->path, "/peer/cancellation"))
+        receive_cancel_notice(n, req);
+    else
+        amb_http_reply(req, 404, NULL, NULL, 0, 0);
+}
+
 static void forget_message(struct amb_peer_message *m) {
     json_decref(m->parsed);
     free(m->text);
--- a/lib/user_api.c
+++ b/lib/user_api.c
@@ -3,6 +3,7 @@
 #include "amberpin/user_api.h"
 
 #include "amberpin/admission.h"
+#include "amberpin/cancel_notice.h"
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 
@@ -33,8 +34,9 @@
     request_free(request);
 }
 
-static void reply_job(struct user_request *request, int status, const struct amb_job *job, bool brief) {
+static void reply_job(struct user_request *request, int status, struct amb_job *job, bool brief) {
     struct amb_buf body = {0};
+    if (job->state == AMB_JOB_CANCELLED) amb_cancel_notice_told(request->node, job);
     uint32_t done = job->live ? job->ndone : job->shown_done;
     uint32_t running = job->live ? job->nrunning : job->shown_running;
     if (job->state != AMB_JOB_QUEUED) running = 0;
@@ -111,13 +113,14 @@
     amb_store_commit(&request->node->store, &txn, AMB_URGENT_USER, done, request);
 }
 
-static void send_cancellation(struct user_request *request, const struct amb_job *job) {
+static void send_cancellation(struct user_request *request, struct amb_job *job) {
     if (!amb_store_can_write(&request->node->store, 1, 0)) {
         reply_status(request, 503);
         return;
     }
     struct amb_job changed = *job;
     changed.cancelled_wall = amb_wall_ms();
+    amb_cancel_notice_pending(request->node, job);
     write_job(request, &changed, AMB_JOB_CANCELLED, cancelled);
 }
 
@@ -169,7 +172,7 @@
     struct amb_spec *spec = amb_alloc(sizeof *spec);
     enum amb_parse parsed = read_submission(request, spec);
     enum amb_admission admission = parsed == AMB_PARSE_OK ? amb_job_admission(node, spec) : AMB_NEVER_RUNS;
-    const struct amb_job *known = amb_job_find(node, request->ref);
+    struct amb_job *known = amb_job_find(node, request->ref);
     if (!amb_ref_ok(request->ref)) { /* no job of that name can have been accepted */
         reply_status(request, 400);
     } else if (known && known->state != AMB_JOB_QUEUED) {
