--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -143,8 +143,7 @@
 
 void amb_job_can_start(struct amb_node *node, struct amb_job *job) {
     if (job->awaiting) return;
-    if (node->jobs.loaded)
-        amb_event_post(node, &(struct amb_event){.type = AMB_EVENT_JOB_KNOWN, .job = job});
+    if (node->jobs.loaded) amb_event_post(node, &(struct amb_event){.type = AMB_EVENT_JOB_KNOWN, .job = job});
     if (amb_holds_lead(node) && node->ctl.loaded_at && job->state == AMB_JOB_QUEUED) {
         amb_job_take_if_room(node, job);
         amb_controller_wake(node);
--- a/lib/orders.c
+++ b/lib/orders.c
@@ -1,5 +1,6 @@
 #include "amberpin/orders.h"
 
+#include "amberpin/cancel_notice.h"
 #include "amberpin/codec.h"
 #include "amberpin/node.h"
 
@@ -34,6 +35,7 @@
     if (!amb_may_start(node) || !node->ctl.ready) return;
     if (machine->release_wanted || machine->state == AMB_MACHINE_RELEASING) return;
     if (job->spec->kind == AMB_GANG && !amb_gang_recorded(job)) return;
+    if (amb_cancel_is_pending(node, job)) return;
     task->sent = true;
     amb_orders_add(orders, AMB_OP_RUN, job->ref, task->index, task->attempt, 0);
 }
