Memory tests reckon rooms from the sizes of jobs, to the byte

The row of jobs that are over held a ratio of sizes that the fields of pipelines changed: the join of the two made it red. Each row now asks on both sides of the exact bound.

--- a/tests/test_memory.c
+++ b/tests/test_memory.c
@@ -9,7 +9,7 @@
 
 #include <unistd.h>
 
-enum { MIB = 1024 * 1024, TOO_MANY = -1 };
+enum { MIB = 1024 * 1024, TOO_MANY = -1, AMPLE = 50000 }; /* AMPLE: bytes */
 
 static void shares_of_the_quota(void **state) {
     (void)state;
@@ -94,23 +94,24 @@
     (void)state;
     static const struct {
         const char *what;
-        double room_for; /* described jobs in the table */
         uint32_t described, over;
+        int spare; /* bytes of the table's share beyond what it takes with one described job more */
         int tasks; /* 0: as many as can be cared for at a time */
         int status;
     } rows[] = {
-        {"an empty table", 1.01, 0, 0, 1, 0},
-        {"room for one job less", 0.99, 0, 0, 1, 503},
-        {"the last place", 3.01, 2, 0, 1, 0},
-        {"a full table", 2.99, 2, 0, 1, 503},
-        {"jobs that are over take less", 2.5, 1, 2, 1, 0},
-        {"but something", 2.3, 1, 2, 1, 503},
-        {"a job of many tasks", 50, 0, 0, 0, 0},
-        {"of more than can ever be cared for", 50, 0, 0, TOO_MANY, 503},
+        {"an empty table", 0, 0, 8, 1, 0},
+        {"room for less than one job", 0, 0, -8, 1, 503},
+        {"the last place", 2, 0, 8, 1, 0},
+        {"a full table", 2, 0, -8, 1, 503},
+        {"jobs that are over take less", 1, 2, 8, 1, 0},
+        {"but something", 1, 2, -8, 1, 503},
+        {"a job of many tasks", 0, 0, AMPLE, 0, 0},
+        {"of more than can ever be cared for", 0, 0, AMPLE, TOO_MANY, 503},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
         begin();
-        node->set.memory_mb = 3 * rows[i].room_for * (double)bytes_of(1, 1) / MIB;
+        size_t taken = bytes_of(rows[i].described + rows[i].over + 1, rows[i].described + 1);
+        node->set.memory_mb = 3 * ((double)taken + rows[i].spare) / MIB;
         uint32_t most = (uint32_t)amb_memory_tasks_of_one_job(&node->set);
         uint32_t tasks = rows[i].tasks == TOO_MANY ? most + 1
                          : rows[i].tasks           ? (uint32_t)rows[i].tasks
