--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -5,6 +5,7 @@
 #include "amberpin/absence.h"
 #include "amberpin/change_feed.h"
 #include "amberpin/election.h"
+#include "amberpin/formats.h"
 #include "amberpin/http.h"
 #include "amberpin/jobs.h"
 #include "amberpin/options.h"
@@ -163,6 +164,7 @@
     amb_ms quiet_at;
     uint64_t term;
     uint64_t epoch; /* up to which it knows all changes, by its last heartbeat; 0: it has not said */
+    enum amb_format format; /* its last word */
     bool leading, store_ok, reports_arrive, busy;
     amb_ms sent_at;
     struct amb_peer_message heartbeat, answer; /* its last of each */
@@ -246,6 +248,7 @@
     struct amb_fleet fleet;
     struct amb_rental rental;
     struct amb_peers peers;
+    struct amb_formats formats;
     struct amb_controller ctl;
     struct amb_server *front, *side;
 };
