--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -163,7 +163,7 @@
     uint64_t quiet_term;           /* the last term of ours that it has heeded, and since when */
     amb_ms quiet_at;
     uint64_t term;
-    uint64_t epoch; /* up to which it knows all changes, by its last heartbeat; 0: it has not said */
+    uint64_t epoch;         /* up to which it knows all changes, by its last heartbeat; 0: it has not said */
     enum amb_format format; /* its last word */
     bool leading, store_ok, reports_arrive, busy;
     amb_ms sent_at;
