--- a/tests/fake_state.c
+++ b/tests/fake_state.c
@@ -111,23 +111,39 @@
 
 /* ---- sizes, written apart from the library's own count ---- */
 
-static size_t json_size(const cbor_item_t *item) {
+/* One item without what is within it, which is put on the stack; ", " and ": " stand between. */
+static size_t json_item_size(const cbor_item_t *item, const cbor_item_t **stack, size_t *depth) {
     char number[32];
     if (cbor_isa_string(item)) return cbor_string_length(item) + 2;
     if (cbor_isa_uint(item))
         return (size_t)snprintf(number, sizeof number, "%llu", (unsigned long long)cbor_get_int(item));
-    size_t size = 2, count = 0;
+    size_t separators = 0;
     if (cbor_isa_array(item)) {
-        count = cbor_array_size(item);
-        for (size_t i = 0; i < count; i++) size += json_size(amb_cbor_at(item, i));
+        size_t count = cbor_array_size(item);
+        separators = count ? count - 1 : 0;
+        for (size_t i = 0; i < count; i++) stack[(*depth)++] = amb_cbor_at(item, i);
     } else if (cbor_isa_map(item)) {
-        count = cbor_map_size(item);
+        size_t count = cbor_map_size(item);
         const struct cbor_pair *pairs = cbor_map_handle(item);
-        for (size_t i = 0; i < count; i++) size += json_size(pairs[i].key) + 2 + json_size(pairs[i].value);
+        separators = count ? 2 * count - 1 : 0;
+        for (size_t i = 0; i < count; i++)
+            stack[(*depth)++] = pairs[i].key, stack[(*depth)++] = pairs[i].value;
     } else {
-        size = 5;
+        return 5; /* true, false, null */
+    }
+    return 2 + 2 * separators;
+}
+
+static size_t json_size(const cbor_item_t *item) {
+    enum { ITEMS = 256 };
+    const cbor_item_t *stack[ITEMS] = {item};
+    size_t size = 0;
+    for (size_t depth = 1; depth;) {
+        assert_true(depth < ITEMS / 2);
+        item = stack[--depth];
+        size += json_item_size(item, stack, &depth);
     }
-    return size + (count ? 2 * (count - 1) : 0); /* ", " between them */
+    return size;
 }
 
 /* ---- calls ---- */
--- a/tests/fake_state.h
+++ b/tests/fake_state.h
@@ -21,12 +21,12 @@
 };
 
 void fake_state_reset(void);
-void fake_state_limits(struct fake_state_limits limits);
+void fake_state_limits(struct fake_state_limits to);
 void fake_state_refill(void);
-/* A key as somebody else writes it; NULL: removed. Returns the stamp. */
-uint64_t fake_state_put(const char *key, const struct amb_buf *value);
-uint64_t fake_state_stamp(const char *key); /* 0: not there */
-const cbor_item_t *fake_state_value(const char *key);
+/* A key as somebody else writes it; value NULL: removed. Returns the stamp. */
+uint64_t fake_state_put(const char *name, const struct amb_buf *value);
+uint64_t fake_state_stamp(const char *name); /* 0: not there */
+const cbor_item_t *fake_state_value(const char *name);
 size_t fake_state_count(const char *prefix);
 const char *fake_state_key(const char *prefix, size_t index); /* in the order of keys; NULL: no more */
 
