--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -6,7 +6,7 @@
 
 #include "amberpin/log.h"
 
-enum { LENGTH = 300000, SEEDS = 3 };
+enum { LENGTH = 300000, LONG_LENGTH = 400000, SEEDS = 3 };
 
 static const struct sim_size fleet = {3, 20, 24, 40, 3, 1000, 10000, 30000, 200, 20, 3};
 
@@ -15,6 +15,7 @@
     unsigned load;
     struct sim_fault faults[6];
     size_t count;
+    amb_ms length; /* 0: LENGTH */
 };
 
 static void must_hold(const struct day *day, uint64_t seed) {
@@ -22,7 +23,7 @@
     struct sim_result r = sim_play(&(struct sim_plan){
         .size = &fleet,
         .seed = seed,
-        .length = LENGTH,
+        .length = day->length ? day->length : LENGTH,
         .load = day->load,
         .faults = day->faults,
         .fault_count = day->count,
@@ -53,9 +54,9 @@
 static void one_at_a_time(void **state) {
     (void)state;
     static const struct day days[] = {
-        {"an upgrade", 0, {{SIM_UPGRADE, 30000, 15000, -1}}, 1},
-        {"two at a time", 0, {{SIM_UPGRADE, 30000, 15000, 2}}, 1},
-        {"one right after the other", 0, {{SIM_UPGRADE, 30000, 3000, -1}}, 1},
+        {"an upgrade", 0, {{SIM_UPGRADE, 30000, 15000, -1}}, 1, 0},
+        {"two at a time", 0, {{SIM_UPGRADE, 30000, 15000, 2}}, 1, 0},
+        {"one right after the other", 0, {{SIM_UPGRADE, 30000, 3000, -1}}, 1, 0},
     };
     play_days(days, ROWS(days));
 }
@@ -67,7 +68,8 @@
         {"the new leader ends while old nodes live",
          0,
          {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_KILL, 42000, 1, -1}, {SIM_KILL, 60000, 1, -1}},
-         3},
+         3,
+         0},
         {"leaders end every few seconds",
          0,
          {{SIM_UPGRADE, 30000, 25000, -1},
@@ -76,22 +78,26 @@
           {SIM_KILL_BRIEF, 58000, 1, -1},
           {SIM_KILL_BRIEF, 66000, 1, -1},
           {SIM_KILL_BRIEF, 76000, 1, -1}},
-         6},
+         6,
+         0},
         {"all end together when one is new",
          0,
          {{SIM_UPGRADE, 30000, 40000, -1},
           {SIM_KILL, 50000, 1, 0},
           {SIM_KILL, 50000, 1, 1},
           {SIM_KILL, 50000, 1, 2}},
-         4},
+         4,
+         0},
         {"all end together when the last is on its way",
          0,
          {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_KILL, 71000, 1, 0}, {SIM_KILL, 72000, 1, 1}},
-         3},
+         3,
+         0},
         {"a node ends just before its turn",
          0,
          {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_KILL, 49000, 1, 1}, {SIM_KILL, 69500, 1, 2}},
-         3},
+         3,
+         0},
     };
     play_days(days, ROWS(days));
 }
@@ -102,26 +108,30 @@
         {"late transactions of ended nodes",
          0,
          {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_LATE_WRITES, 25000, 70000, 40}, {SIM_KILL, 60000, 1, -1}},
-         3},
+         3,
+         0},
         {"answers of the state service are lost",
          0,
          {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_LOSE_ANSWERS, 25000, 70000, -1}},
-         2},
-        {"an outage", 0, {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_OUTAGE, 45000, 35000, -1}}, 2},
-        {"zones apart", 0, {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_ZONES_APART, 40000, 45000, -1}}, 2},
+         2,
+         0},
+        {"an outage", 0, {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_OUTAGE, 45000, 35000, -1}}, 2, 0},
+        {"zones apart", 0, {{SIM_UPGRADE, 30000, 20000, -1}, {SIM_ZONES_APART, 40000, 45000, -1}}, 2, 0},
         {"the leader is refused by the state service, cancellations at the others",
          0,
          {{SIM_UPGRADE, 30000, 25000, -1},
           {SIM_REFUSE_STATE, 40000, 12000, -1},
           {SIM_CANCEL_NOW, 42000, 10000, 8},
           {SIM_OUTAGE, 52000, 35000, -1}},
-         4},
+         4,
+         0},
         {"reports come late, and as leaders begin",
          0,
          {{SIM_UPGRADE, 30000, 20000, -1},
           {SIM_LATE_REPORTS, 25000, 70000, 30},
           {SIM_KEPT_REPORTS, 25000, 70000, 40}},
-         3},
+         3,
+         0},
     };
     play_days(days, ROWS(days));
 }
@@ -130,35 +140,111 @@
 static void pipelines_right_after(void **state) {
     (void)state;
     static const struct day days[] = {
-        {"an upgrade, then pipelines", SIM_LOAD_PIPELINES, {{SIM_UPGRADE, 30000, 15000, -1}}, 1},
+        {"an upgrade, then pipelines", SIM_LOAD_PIPELINES, {{SIM_UPGRADE, 30000, 15000, -1}}, 1, 0},
         {"the last node is new, and the leader ends",
          SIM_LOAD_PIPELINES,
          {{SIM_UPGRADE, 30000, 12000, -1}, {SIM_KILL_BRIEF, 60500, 1, -1}, {SIM_KILL, 68000, 1, -1}},
-         3},
+         3,
+         0},
         {"late transactions of ended nodes",
          SIM_LOAD_PIPELINES,
          {{SIM_UPGRADE, 30000, 12000, -1}, {SIM_LATE_WRITES, 25000, 70000, 40}, {SIM_KILL, 62000, 1, -1}},
-         3},
+         3,
+         0},
         {"zones apart as the last node is upgraded",
          SIM_LOAD_PIPELINES,
          {{SIM_UPGRADE, 30000, 12000, -1}, {SIM_ZONES_APART, 50000, 30000, -1}},
-         2},
+         2,
+         0},
         {"answers are lost",
          SIM_LOAD_PIPELINES,
          {{SIM_UPGRADE, 30000, 12000, -1},
           {SIM_LOSE_ANSWERS, 45000, 40000, -1},
           {SIM_CLOSE_LOOKS, 60000, 60000, -1}},
-         3},
+         3,
+         0},
+    };
+    play_days(days, ROWS(days));
+}
+
+/* The limits are lowered as soon as all nodes are new, or later, as jobs of many tasks and pipelines come:
+ * what was recorded in large blocks has to be written in smaller ones. */
+static void limits_lowered(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"right after the upgrade",
+         SIM_LOAD_PIPELINES,
+         {{SIM_UPGRADE, 30000, 12000, -1}, {SIM_LOWER_LIMITS, 30000, 1, -1}},
+         2,
+         0},
+        {"in the middle of a burst",
+         SIM_LOAD_PIPELINES | SIM_LOAD_CROWDED,
+         {{SIM_UPGRADE, 10000, 8000, -1}, {SIM_LOWER_LIMITS, 75000, 1, -1}},
+         2,
+         0},
+        {"in the middle of a burst, on a day without an upgrade",
+         SIM_LOAD_PIPELINES | SIM_LOAD_CROWDED,
+         {{SIM_LOWER_LIMITS, 60000, 1, -1}},
+         1,
+         0},
+        {"and a stream of one-task jobs",
+         SIM_LOAD_PIPELINES | SIM_LOAD_STREAM,
+         {{SIM_LOWER_LIMITS, 60000, 1, -1}, {SIM_KILL, 80000, 1, -1}},
+         2,
+         LONG_LENGTH},
+    };
+    play_days(days, ROWS(days));
+}
+
+static void limits_lowered_as_leaders_end(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"the leader ends as it happens",
+         SIM_LOAD_PIPELINES | SIM_LOAD_CROWDED,
+         {{SIM_UPGRADE, 10000, 8000, -1},
+          {SIM_LOWER_LIMITS, 75000, 1, -1},
+          {SIM_KILL, 75100, 1, -1},
+          {SIM_KILL_BRIEF, 82000, 1, -1},
+          {SIM_KILL_BRIEF, 88000, 1, -1}},
+         5,
+         0},
+        {"leaders end while records are split",
+         SIM_LOAD_PIPELINES | SIM_LOAD_CROWDED,
+         {{SIM_UPGRADE, 10000, 8000, -1},
+          {SIM_LOWER_LIMITS, 50000, 1, -1},
+          {SIM_KILL_BRIEF, 51000, 1, -1},
+          {SIM_KILL_BRIEF, 55500, 1, -1},
+          {SIM_KILL_BRIEF, 60000, 1, -1},
+          {SIM_KILL_BRIEF, 65000, 1, -1}},
+         6,
+         0},
+        {"transactions come late or get no answer",
+         SIM_LOAD_PIPELINES | SIM_LOAD_CROWDED,
+         {{SIM_UPGRADE, 10000, 8000, -1},
+          {SIM_LOWER_LIMITS, 50000, 1, -1},
+          {SIM_LATE_WRITES, 45000, 50000, 30},
+          {SIM_LOST_WRITES, 45000, 50000, 30},
+          {SIM_KILL, 70000, 1, -1}},
+         5,
+         0},
+        {"in an outage, in which all end",
+         SIM_LOAD_PIPELINES | SIM_LOAD_CROWDED,
+         {{SIM_OUTAGE, 50000, 40000, -1},
+          {SIM_LOWER_LIMITS, 55000, 1, -1},
+          {SIM_KILL, 60000, 1, 0},
+          {SIM_KILL, 60000, 1, 1},
+          {SIM_KILL, 61000, 1, 2}},
+         5,
+         0},
     };
     play_days(days, ROWS(days));
 }
 
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(one_at_a_time),
-        cmocka_unit_test(leaders_end_on_the_way),
-        cmocka_unit_test(troubles_on_the_way),
-        cmocka_unit_test(pipelines_right_after),
+        cmocka_unit_test(one_at_a_time),       cmocka_unit_test(leaders_end_on_the_way),
+        cmocka_unit_test(troubles_on_the_way), cmocka_unit_test(pipelines_right_after),
+        cmocka_unit_test(limits_lowered),      cmocka_unit_test(limits_lowered_as_leaders_end),
     };
     if (!choose_named_test(tests, ROWS(tests), argc, argv)) return 2;
     return cmocka_run_group_tests(tests, NULL, NULL);
