--- a/tests/standin/explore.c
+++ b/tests/standin/explore.c
@@ -119,6 +119,16 @@
     };
 }
 
+/* On every third day; not before an upgrade is over. */
+static void draw_lowered_limits(uint64_t *state, struct drawn *day) {
+    if (next_random(state) % 3) return;
+    day->faults[day->plan.fault_count++] =
+        (struct sim_fault){.kind = SIM_LOWER_LIMITS,
+                           .at = pick(state, FIRST_CLUSTER_MS, LAST_CLUSTER_MS),
+                           .lasts = 1,
+                           .which = -1};
+}
+
 static void draw_day(struct drawn *day, const struct sim_size *size, uint64_t seed) {
     uint64_t state = seed * 0x9e3779b97f4a7c15u + 0x1234567;
     int clusters = (int)pick(&state, 1, CLUSTERS_MOST);
@@ -130,6 +140,7 @@
             draw_fault(&state, size, at, &day->faults[day->plan.fault_count++]);
     }
     draw_upgrade(&state, day);
+    draw_lowered_limits(&state, day);
     day->plan.size = size;
     day->plan.seed = seed;
     day->plan.length = LENGTH_MS;
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -102,6 +102,34 @@
     play_days(days, ROWS(days));
 }
 
+/* The only new node leads and places the tasks of large jobs; then an old one takes over while machines hang,
+ * so that what they hold is known from the records alone. Then the other way round. */
+static void taken_over_by_the_other_version(void **state) {
+    (void)state;
+    static const struct day days[] = {
+        {"an old node takes over from a new one",
+         SIM_LOAD_CROWDED,
+         {{SIM_UPGRADE, 10000, 80000, 1},
+          {SIM_KILL, 18000, 1, 1},
+          {SIM_KILL, 18000, 1, 2},
+          {SIM_HANG, 60000, 9000, 0},
+          {SIM_HANG, 60000, 9000, -1},
+          {SIM_KILL, 60500, 1, 0}},
+         6,
+         0},
+        {"a new node takes over from an old one",
+         SIM_LOAD_CROWDED,
+         {{SIM_UPGRADE, 50000, 30000, 1},
+          {SIM_HANG, 60000, 9000, 0},
+          {SIM_HANG, 60000, 9000, -1},
+          {SIM_KILL, 60500, 1, 1},
+          {SIM_KILL, 60500, 1, 2}},
+         5,
+         0},
+    };
+    play_days(days, ROWS(days));
+}
+
 static void troubles_on_the_way(void **state) {
     (void)state;
     static const struct day days[] = {
@@ -242,9 +270,13 @@
 
 int main(int argc, char **argv) {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(one_at_a_time),       cmocka_unit_test(leaders_end_on_the_way),
-        cmocka_unit_test(troubles_on_the_way), cmocka_unit_test(pipelines_right_after),
-        cmocka_unit_test(limits_lowered),      cmocka_unit_test(limits_lowered_as_leaders_end),
+        cmocka_unit_test(one_at_a_time),
+        cmocka_unit_test(leaders_end_on_the_way),
+        cmocka_unit_test(taken_over_by_the_other_version),
+        cmocka_unit_test(troubles_on_the_way),
+        cmocka_unit_test(pipelines_right_after),
+        cmocka_unit_test(limits_lowered),
+        cmocka_unit_test(limits_lowered_as_leaders_end),
     };
     if (!choose_named_test(tests, ROWS(tests), argc, argv)) return 2;
     return cmocka_run_group_tests(tests, NULL, NULL);
