--- a/bench/world.c
+++ b/bench/world.c
@@ -384,7 +384,7 @@
     put_settings(&node->set, size, member);
     put_catalog(&node->catalog);
     node->rental.catalog_known = true;
-    node->ctl.beat_s = amb_settings_beat(&node->set);
+    node->ctl.turn_s = amb_settings_beat(&node->set);
     amb_store_init(&node->store, &node->set, 1000);
     return node;
 }
--- /dev/null
+++ b/include/amberpin/deputy.h
@@ -0,0 +1,45 @@
+/* Deputies: a node keeps a cut-off zone's workers alive for a leader that can't be reached from there. */
+#ifndef AMBERPIN_DEPUTY_H
+#define AMBERPIN_DEPUTY_H
+
+#include "amberpin/loop.h"
+#include "amberpin/model.h"
+#include "amberpin/settings.h"
+
+#include <cbor.h>
+
+struct amb_node;
+
+enum amb_deputy_state {
+    AMB_DEPUTY_OFF,
+    AMB_DEPUTY_ASKING, /* lease asked for, or the key being written */
+    AMB_DEPUTY_ACTIVE, /* answers reports of its own zone with the leader's token, and starts nothing */
+};
+
+struct amb_deputy {
+    enum amb_deputy_state state;
+    uint64_t lease, term;
+    amb_ms since, renewed_at, renew_sent_at;
+    bool renewing;
+    /* As the leader sees others: when a deputy of a zone was last known of. */
+    struct {
+        char member[AMB_NAME];
+        int zone;
+        uint64_t stamp;
+        bool present, seen;
+    } known[AMB_PEERS + 1];
+    uint32_t nknown;
+    amb_ms zone_at[AMB_ZONES];
+};
+
+void amb_deputy_tick(struct amb_node *node, amb_ms now);
+/* The deputies' keys are listed anew: before the first (over: false) and after the last. */
+void amb_deputy_listing(struct amb_node *node, bool over);
+/* News of a deputy's key; value NULL: it is gone. */
+void amb_deputy_key(struct amb_node *node, const char *member, const cbor_item_t *value, uint64_t stamp);
+/* May this node answer the report as a deputy? */
+bool amb_deputy_answers(const struct amb_node *node, const struct amb_report *report);
+/* May somebody else be answering machines of this zone under our token? */
+bool amb_deputy_in_zone(const struct amb_node *node, int zone);
+
+#endif
--- a/include/amberpin/loop.h
+++ b/include/amberpin/loop.h
@@ -6,7 +6,7 @@
 
 struct amb_watch { /* a socket in the loop */
     int fd;
-    void (*fn)(struct amb_watch *w, uint32_t events);
+    void (*fn)(struct amb_watch *watch, uint32_t events);
     void *arg;
     uint32_t events; /* that it waits for; the loop's own */
 };
@@ -21,12 +21,12 @@
 void amb_loop_init(void);
 void amb_loop_run(void); /* until amb_loop_stop */
 void amb_loop_stop(void);
-int amb_loop_add(struct amb_watch *w, uint32_t events);
-void amb_loop_mod(struct amb_watch *w, uint32_t events); /* no system call when they stay the same */
-void amb_loop_del(struct amb_watch *w);
+int amb_loop_add(struct amb_watch *watch, uint32_t events);
+void amb_loop_mod(struct amb_watch *watch, uint32_t events); /* no system call when they stay the same */
+void amb_loop_del(struct amb_watch *watch);
 
-void amb_timer_set(struct amb_timer *t, amb_ms at, void (*fn)(void *), void *arg);
-void amb_timer_in(struct amb_timer *t, amb_ms delay, void (*fn)(void *), void *arg);
-void amb_timer_stop(struct amb_timer *t);
+void amb_timer_set(struct amb_timer *timer, amb_ms at, void (*fn)(void *), void *arg);
+void amb_timer_in(struct amb_timer *timer, amb_ms delay, void (*fn)(void *), void *arg);
+void amb_timer_stop(struct amb_timer *timer);
 
 #endif
--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -217,12 +217,12 @@
 
 /* Names kept latest first, at most `most` of them, each with a figure unless gb is NULL. Puts this one in
  * front and says whether it is new. */
-bool amb_latest_first(char (*names)[AMB_NAME], double *gb, uint32_t *n, uint32_t most, const char *name,
+bool amb_latest_first(char (*names)[AMB_NAME], double *gb, uint32_t *count, uint32_t most, const char *name,
                       double figure);
-bool amb_spec_allows(const struct amb_spec *s, const char *type);    /* this machine type */
-int amb_catalog_type(const struct amb_catalog *c, const char *name); /* -1: unknown */
-int amb_catalog_zone(struct amb_catalog *c, const char *name);       /* added when new; -1: no room */
+bool amb_spec_allows(const struct amb_spec *spec, const char *type);       /* this machine type */
+int amb_catalog_type(const struct amb_catalog *catalog, const char *name); /* -1: unknown */
+int amb_catalog_zone(struct amb_catalog *catalog, const char *name);       /* added when new; -1: no room */
 bool amb_res_fits(const struct amb_res *need, const struct amb_res *room);
-void amb_res_add(struct amb_res *r, const struct amb_res *d, double times);
+void amb_res_add(struct amb_res *sum, const struct amb_res *part, double times);
 
 #endif
--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -3,6 +3,7 @@
 #define AMBERPIN_NODE_H
 
 #include "amberpin/change_feed.h"
+#include "amberpin/deputy.h"
 #include "amberpin/election.h"
 #include "amberpin/events.h"
 #include "amberpin/fleet.h"
@@ -10,6 +11,7 @@
 #include "amberpin/http.h"
 #include "amberpin/jobs.h"
 #include "amberpin/options.h"
+#include "amberpin/rental.h"
 #include "amberpin/reports.h"
 #include "amberpin/settings.h"
 #include "amberpin/store.h"
@@ -18,37 +20,6 @@
 
 struct amb_node;
 
-/* ---- deputy: keeps a cut-off zone's workers alive for a leader that can't be reached ---- */
-
-enum amb_deputy_state {
-    AMB_DEPUTY_OFF,
-    AMB_DEPUTY_ASKING, /* lease asked for, or the key being written */
-    AMB_DEPUTY_ACTIVE, /* answers reports of its own zone with the leader's token, and starts nothing */
-};
-
-struct amb_deputy {
-    enum amb_deputy_state state;
-    uint64_t lease, term;
-    amb_ms since, renewed_at, renew_sent_at;
-    bool renewing;
-    /* As the leader sees others: when a deputy of a zone was last known of. */
-    struct {
-        char member[AMB_NAME];
-        int zone;
-        uint64_t stamp;
-        bool present, seen;
-    } known[AMB_PEERS + 1];
-    uint32_t nknown;
-    amb_ms zone_at[AMB_ZONES];
-};
-
-void amb_deputy_tick(struct amb_node *n, amb_ms now);
-void amb_deputy_listing(struct amb_node *n, bool over);
-void amb_deputy_key(struct amb_node *n, const char *member, const cbor_item_t *value, uint64_t stamp);
-bool amb_deputy_answers(const struct amb_node *n, const struct amb_report *r);
-/* May somebody else be answering machines of this zone under our token? */
-bool amb_deputy_in_zone(const struct amb_node *n, int zone);
-
 /* ---- record: the durable form of placements and results ---- */
 
 void amb_record_dirty(struct amb_node *n, struct amb_task *t, bool urgent);
@@ -57,49 +28,6 @@
 uint32_t amb_record_tasks_per_block(const struct amb_settings *s);
 void amb_record_encode(struct amb_node *n, const struct amb_block *k, struct amb_buf *out);
 
-/* ---- rental: the cloud ---- */
-
-struct amb_charter {
-    char id[48];
-    int type, zone;
-    bool spot, answered;
-    uint32_t count;
-    enum { AMB_CHARTER_RECORDING, AMB_CHARTER_ASKING, AMB_CHARTER_DONE, AMB_CHARTER_REMOVING } state;
-    amb_ms retry_at, done_at;
-    bool busy;
-    struct amb_charter *next;
-    struct amb_node *node;
-};
-
-struct amb_refusal { /* capacity that was not there */
-    amb_ms until;
-    uint32_t times;
-};
-
-struct amb_rental {
-    struct amb_budget calls;
-    bool catalog_known, listing, releasing;
-    amb_ms catalog_at, list_at, held_until, list_began, release_retry_at;
-    struct amb_timer timer;
-    struct amb_charter *charters;
-    uint64_t counter;
-    uint64_t list_pass;
-    bool listed; /* the cloud has listed its machines to the end since this node leads */
-    char list_after[AMB_NAME];
-    struct amb_refusal refused[AMB_TYPES][AMB_ZONES][2];
-    char release_names[100][AMB_NAME];
-    uint32_t nrelease;
-};
-
-void amb_rental_init(struct amb_node *n);
-void amb_rental_tick(struct amb_node *n, amb_ms now);
-void amb_rental_load(struct amb_node *n, const char *key, const cbor_item_t *value);
-void amb_rental_want(struct amb_node *n, int type, int zone, bool spot, uint32_t count);
-uint32_t amb_rental_calls(struct amb_node *n, amb_ms now); /* how many wants can be asked for by now */
-void amb_rental_release(struct amb_node *n, struct amb_machine *m, const char *cause);
-void amb_rental_clear(struct amb_node *n);
-bool amb_rental_refused(const struct amb_node *n, int type, int zone, bool spot, amb_ms now);
-
 /* ---- peer: node to node ---- */
 
 struct json_t;
@@ -187,7 +115,7 @@
     uint64_t load_term;
     bool round_wanted;
     uint32_t turn; /* whose turn comes first */
-    double beat_s; /* what the leader's turns are measured in (amb_settings_beat) */
+    double turn_s; /* what the leader's turns are measured in (amb_settings_beat) */
     struct amb_timer timer, round_timer;
     uint32_t ndemands;
     struct amb_demand demands[AMB_DEMANDS];
--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -34,13 +34,13 @@
 };
 
 /* What is free on it; with soon, what is about to be, too. */
-struct amb_res amb_place_room(const struct amb_slot *s, bool soon);
-bool amb_place_allowed(const struct amb_wish *w, const struct amb_slot *s);
+struct amb_res amb_place_room(const struct amb_slot *slot, bool soon);
+bool amb_place_allowed(const struct amb_wish *wish, const struct amb_slot *slot);
 /* Best of the slots that can take it, or -1. With soon, room that is about to come counts too. */
-int amb_place_pick(const struct amb_wish *w, const struct amb_slot *slots, uint32_t n, bool soon);
+int amb_place_pick(const struct amb_wish *wish, const struct amb_slot *slots, uint32_t count, bool soon);
 uint32_t amb_place_spread_most(uint32_t tasks);
 /* Tasks that are not proven absent from a machine whose zone is unknown: they may be in any. */
-uint32_t amb_job_tasks_in_unknown_zones(const struct amb_job *j);
+uint32_t amb_job_tasks_in_unknown_zones(const struct amb_job *job);
 /* A slot's `late`, for a fetch that nominally takes fetch_s of the within_s in which the task is to start.
  * slack_s: what order and report take; negative: nobody counts starts, only the time matters. */
 double amb_place_late(double fetch_s, double within_s, double slack_s);
--- /dev/null
+++ b/include/amberpin/rental.h
@@ -0,0 +1,59 @@
+/* The cloud: its catalogue, machines rented and returned, and the list of those that we have. */
+#ifndef AMBERPIN_RENTAL_H
+#define AMBERPIN_RENTAL_H
+
+#include "amberpin/loop.h"
+#include "amberpin/model.h"
+#include "amberpin/store.h"
+
+#include <cbor.h>
+
+struct amb_node;
+
+/* Machines of one kind that are wanted: recorded, then asked for under its name. */
+struct amb_rental_request {
+    char id[48];
+    int type, zone;
+    bool spot, answered;
+    uint32_t count;
+    enum { AMB_REQUEST_RECORDING, AMB_REQUEST_ASKING, AMB_REQUEST_DONE, AMB_REQUEST_REMOVING } state;
+    amb_ms retry_at, done_at;
+    bool busy;
+    struct amb_rental_request *next;
+    struct amb_node *node;
+};
+
+struct amb_refusal { /* capacity that was not there */
+    amb_ms until;
+    uint32_t times;
+};
+
+struct amb_rental {
+    struct amb_budget calls;
+    bool catalog_known, listing, releasing;
+    amb_ms catalog_at, list_at, held_until, list_began, release_retry_at;
+    struct amb_timer timer;
+    struct amb_rental_request *requests; /* the longest waiting first */
+    uint64_t counter;
+    uint64_t list_pass;
+    bool listed; /* the cloud has listed its machines to the end since this node leads */
+    char list_after[AMB_NAME];
+    struct amb_refusal refused[AMB_TYPES][AMB_ZONES][2];
+    char release_names[100][AMB_NAME];
+    uint32_t nrelease;
+};
+
+void amb_rental_init(struct amb_node *node);
+void amb_rental_tick(struct amb_node *node, amb_ms now);
+/* A request that an earlier leader recorded: it is repeated, and the answer names what it rented. */
+void amb_rental_load(struct amb_node *node, const char *key, const cbor_item_t *value);
+/* Machines of this kind are to be rented. */
+void amb_rental_want(struct amb_node *node, int type, int zone, bool spot, uint32_t count);
+uint32_t amb_rental_calls(struct amb_node *node, amb_ms now); /* how many wants can be asked for by now */
+/* The machine is to be returned. */
+void amb_rental_release(struct amb_node *node, struct amb_machine *machine, const char *cause);
+void amb_rental_clear(struct amb_node *node);
+/* Has the cloud lately had no capacity of this kind? */
+bool amb_rental_refused(const struct amb_node *node, int type, int zone, bool spot, amb_ms now);
+
+#endif
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -19,7 +19,7 @@
     c->round_wanted = false;
     struct amb_round *r = amb_round_new(n, now);
     uint32_t started = amb_round_admit(r);
-    bool planned = now - c->plan_at >= amb_secs(n->ctl.beat_s / 2);
+    bool planned = now - c->plan_at >= amb_secs(n->ctl.turn_s / 2);
     if (planned) {
         c->plan_at = now;
         amb_plan(r);
@@ -39,7 +39,7 @@
     n->ctl.round_wanted = true;
     if (!n->ctl.ready || n->ctl.round_timer.slot) return;
     /* A moment's patience lets news that comes together be handled together. */
-    amb_timer_in(&n->ctl.round_timer, amb_secs(n->ctl.beat_s * 0.05), run_round, n);
+    amb_timer_in(&n->ctl.round_timer, amb_secs(n->ctl.turn_s * 0.05), run_round, n);
 }
 
 /* ---- taking over ---- */
@@ -164,7 +164,7 @@
     struct amb_node *n = arg;
     struct amb_controller *c = &n->ctl;
     amb_ms now = amb_now();
-    amb_timer_in(&c->timer, amb_secs(n->ctl.beat_s * 0.1), tick, n);
+    amb_timer_in(&c->timer, amb_secs(n->ctl.turn_s * 0.1), tick, n);
     amb_rental_tick(n, now);
     amb_deputy_tick(n, now);
     if (!amb_leads(n)) return;
@@ -182,7 +182,7 @@
         want_round(n);
     }
     amb_fleet_tick(n, now);
-    if (c->ready && (c->round_wanted || now - c->round_at > amb_secs(n->ctl.beat_s * 0.5))) want_round(n);
+    if (c->ready && (c->round_wanted || now - c->round_at > amb_secs(n->ctl.turn_s * 0.5))) want_round(n);
     amb_record_pump(n);
 }
 
@@ -213,7 +213,7 @@
 
 int amb_node_start(struct amb_node *n, char *err, size_t cap) {
     amb_controller_attach(n);
-    n->ctl.beat_s = amb_settings_beat(&n->set);
+    n->ctl.turn_s = amb_settings_beat(&n->set);
     amb_election_init(n);
     amb_store_init(&n->store, &n->set, amb_election_patience(n));
     amb_rental_init(n);
--- a/lib/http.c
+++ b/lib/http.c
@@ -22,18 +22,18 @@
     return c > 32 && c < 127 && !strchr("()<>@,;:\\\"/[]?={}", c);
 }
 
-static int parse_request_line(const char *p, size_t n, struct amb_http_msg *out) {
+static int parse_request_line(const char *text, size_t len, struct amb_http_msg *out) {
     size_t i = 0;
-    while (i < n && is_token((unsigned char)p[i])) i++;
-    if (!i || i >= sizeof out->method || i >= n || p[i] != ' ') return -400;
-    memcpy(out->method, p, i);
+    while (i < len && is_token((unsigned char)text[i])) i++;
+    if (!i || i >= sizeof out->method || i >= len || text[i] != ' ') return -400;
+    memcpy(out->method, text, i);
     out->method[i] = 0;
     size_t start = ++i;
-    while (i < n && (unsigned char)p[i] > 32 && p[i] != 127) i++;
-    if (i == start || p[start] != '/' || n - i != 9 || memcmp(p + i, " HTTP/1.", 8)) return -400;
-    if (p[i + 8] != '1' && p[i + 8] != '0') return -400;
-    if (p[i + 8] == '0') out->close = true;
-    out->path = p + start;
+    while (i < len && (unsigned char)text[i] > 32 && text[i] != 127) i++;
+    if (i == start || text[start] != '/' || len - i != 9 || memcmp(text + i, " HTTP/1.", 8)) return -400;
+    if (text[i + 8] != '1' && text[i + 8] != '0') return -400;
+    if (text[i + 8] == '0') out->close = true;
+    out->path = text + start;
     out->path_len = i - start;
     const char *q = memchr(out->path, '?', out->path_len);
     if (q) {
@@ -44,50 +44,50 @@
     return 0;
 }
 
-static int parse_status_line(const char *p, size_t n, struct amb_http_msg *out) {
-    if (n < 12 || memcmp(p, "HTTP/1.", 7) || p[8] != ' ') return -400;
+static int parse_status_line(const char *text, size_t len, struct amb_http_msg *out) {
+    if (len < 12 || memcmp(text, "HTTP/1.", 7) || text[8] != ' ') return -400;
     for (int i = 9; i < 12; i++) {
-        if (p[i] < '0' || p[i] > '9') return -400;
-        out->status = out->status * 10 + (p[i] - '0');
+        if (text[i] < '0' || text[i] > '9') return -400;
+        out->status = out->status * 10 + (text[i] - '0');
     }
     return 0;
 }
 
-static bool same(const char *p, size_t n, const char *word) {
-    return strlen(word) == n && !strncasecmp(p, word, n);
+static bool same(const char *text, size_t len, const char *word) {
+    return strlen(word) == len && !strncasecmp(text, word, len);
 }
 
-static int parse_number(const char *p, size_t n, long *out) {
-    long v = 0;
-    if (!n || n > 9) return -400;
-    for (size_t i = 0; i < n; i++) {
-        if (p[i] < '0' || p[i] > '9') return -400;
-        v = v * 10 + (p[i] - '0');
+static int parse_number(const char *text, size_t len, long *out) {
+    long value = 0;
+    if (!len || len > 9) return -400;
+    for (size_t i = 0; i < len; i++) {
+        if (text[i] < '0' || text[i] > '9') return -400;
+        value = value * 10 + (text[i] - '0');
     }
-    *out = v;
+    *out = value;
     return 0;
 }
 
-static int parse_header(const char *p, size_t n, struct amb_http_msg *out, long *length) {
-    const char *colon = memchr(p, ':', n);
-    if (!colon || colon == p) return -400;
-    size_t name = (size_t)(colon - p);
+static int parse_header(const char *text, size_t len, struct amb_http_msg *out, long *length) {
+    const char *colon = memchr(text, ':', len);
+    if (!colon || colon == text) return -400;
+    size_t name = (size_t)(colon - text);
     for (size_t i = 0; i < name; i++)
-        if (!is_token((unsigned char)p[i])) return -400;
-    const char *v = colon + 1, *end = p + n;
-    while (v < end && (*v == ' ' || *v == '\t')) v++;
-    while (end > v && (end[-1] == ' ' || end[-1] == '\t')) end--;
-    size_t vn = (size_t)(end - v);
+        if (!is_token((unsigned char)text[i])) return -400;
+    const char *value = colon + 1, *end = text + len;
+    while (value < end && (*value == ' ' || *value == '\t')) value++;
+    while (end > value && (end[-1] == ' ' || end[-1] == '\t')) end--;
+    size_t value_len = (size_t)(end - value);
     long number;
-    if (same(p, name, "content-length")) {
-        if (parse_number(v, vn, &number) || (*length >= 0 && *length != number)) return -400;
+    if (same(text, name, "content-length")) {
+        if (parse_number(value, value_len, &number) || (*length >= 0 && *length != number)) return -400;
         *length = number;
-    } else if (same(p, name, "transfer-encoding")) {
+    } else if (same(text, name, "transfer-encoding")) {
         return -501;
-    } else if (same(p, name, "connection")) {
-        if (same(v, vn, "close")) out->close = true;
-    } else if (same(p, name, "retry-after")) {
-        if (!parse_number(v, vn, &number)) out->retry_after = (int)number;
+    } else if (same(text, name, "connection")) {
+        if (same(value, value_len, "close")) out->close = true;
+    } else if (same(text, name, "retry-after")) {
+        if (!parse_number(value, value_len, &number)) out->retry_after = (int)number;
     }
     return 0;
 }
@@ -99,14 +99,19 @@
     const char *end = look >= 4 ? memmem(data, look, "\r\n\r\n", 4) : NULL;
     if (!end) return len >= AMB_HTTP_HEAD_MAX ? -431 : 0;
     long length = -1;
-    const char *p = data;
-    for (int line = 0; p < end; line++) {
-        const char *eol = memmem(p, (size_t)(end + 2 - p), "\r\n", 2);
-        size_t n = (size_t)(eol - p);
-        int bad = line ? parse_header(p, n, out, &length)
-                       : (response ? parse_status_line(p, n, out) : parse_request_line(p, n, out));
+    const char *line = data;
+    for (bool first = true; line < end; first = false) {
+        const char *eol = memmem(line, (size_t)(end + 2 - line), "\r\n", 2);
+        size_t line_len = (size_t)(eol - line);
+        int bad;
+        if (!first)
+            bad = parse_header(line, line_len, out, &length);
+        else if (response)
+            bad = parse_status_line(line, line_len, out);
+        else
+            bad = parse_request_line(line, line_len, out);
         if (bad) return bad;
-        p = eol + 2;
+        line = eol + 2;
     }
     if (!response && !out->path) return -400;
     if (length > (long)body_max) return -413;
@@ -134,18 +139,18 @@
     }
 }
 
-static bool parse_addr(const char *s, struct sockaddr_in *a) {
+static bool parse_addr(const char *text, struct sockaddr_in *address) {
     char host[64];
-    const char *colon = strrchr(s, ':');
-    if (!colon || (size_t)(colon - s) >= sizeof host) return false;
-    memcpy(host, s, (size_t)(colon - s));
-    host[colon - s] = 0;
+    const char *colon = strrchr(text, ':');
+    if (!colon || (size_t)(colon - text) >= sizeof host) return false;
+    memcpy(host, text, (size_t)(colon - text));
+    host[colon - text] = 0;
     long port;
     if (parse_number(colon + 1, strlen(colon + 1), &port) || port > 65535) return false;
-    memset(a, 0, sizeof *a);
-    a->sin_family = AF_INET;
-    a->sin_port = htons((uint16_t)port);
-    return inet_pton(AF_INET, host, &a->sin_addr) == 1;
+    memset(address, 0, sizeof *address);
+    address->sin_family = AF_INET;
+    address->sin_port = htons((uint16_t)port);
+    return inet_pton(AF_INET, host, &address->sin_addr) == 1;
 }
 
 /* Reads what there is. Returns false when the connection is over. */
@@ -195,164 +200,164 @@
     struct amb_conn *first, *last;
 };
 
-static void conn_unlink(struct amb_conn *c) {
-    struct amb_server *s = c->server;
-    *(c->prev ? &c->prev->next : &s->first) = c->next;
-    *(c->next ? &c->next->prev : &s->last) = c->prev;
+static void conn_unlink(struct amb_conn *conn) {
+    struct amb_server *server = conn->server;
+    *(conn->prev ? &conn->prev->next : &server->first) = conn->next;
+    *(conn->next ? &conn->next->prev : &server->last) = conn->prev;
 }
 
-static void conn_append(struct amb_conn *c) {
-    struct amb_server *s = c->server;
-    c->prev = s->last;
-    c->next = NULL;
-    *(s->last ? &s->last->next : &s->first) = c;
-    s->last = c;
+static void conn_append(struct amb_conn *conn) {
+    struct amb_server *server = conn->server;
+    conn->prev = server->last;
+    conn->next = NULL;
+    *(server->last ? &server->last->next : &server->first) = conn;
+    server->last = conn;
 }
 
-static void conn_end(struct amb_conn *c) {
-    amb_timer_stop(&c->idle);
-    amb_loop_del(&c->watch);
-    close(c->watch.fd);
-    conn_unlink(c);
-    c->server->open--;
-    if (c->req) c->req->conn = NULL;
-    amb_buf_free(&c->in);
-    amb_buf_free(&c->out);
-    free(c);
+static void conn_end(struct amb_conn *conn) {
+    amb_timer_stop(&conn->idle);
+    amb_loop_del(&conn->watch);
+    close(conn->watch.fd);
+    conn_unlink(conn);
+    conn->server->open--;
+    if (conn->req) conn->req->conn = NULL;
+    amb_buf_free(&conn->in);
+    amb_buf_free(&conn->out);
+    free(conn);
 }
 
 static void conn_idle(void *arg) {
     conn_end(arg);
 }
 
-static void conn_state(struct amb_conn *c, enum conn_state to) {
-    c->state = to;
-    conn_unlink(c);
-    conn_append(c);
+static void conn_state(struct amb_conn *conn, enum conn_state to) {
+    conn->state = to;
+    conn_unlink(conn);
+    conn_append(conn);
     if (to == CONN_ANSWERING)
-        amb_timer_stop(&c->idle);
+        amb_timer_stop(&conn->idle);
     else
-        amb_timer_in(&c->idle, c->server->idle_ms, conn_idle, c);
+        amb_timer_in(&conn->idle, conn->server->idle_ms, conn_idle, conn);
 }
 
-static void conn_answer(struct amb_conn *c, int status, const char *type, const void *body, size_t len,
+static void conn_answer(struct amb_conn *conn, int status, const char *type, const void *body, size_t len,
                         int retry_after_s) {
-    amb_buf_fmt(&c->out, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n", status, reason(status), len);
-    if (len) amb_buf_fmt(&c->out, "Content-Type: %s\r\n", type);
-    if (retry_after_s > 0) amb_buf_fmt(&c->out, "Retry-After: %d\r\n", retry_after_s);
-    if (c->close_after) amb_buf_str(&c->out, "Connection: close\r\n");
-    amb_buf_str(&c->out, "\r\n");
-    amb_buf_add(&c->out, body, len);
+    amb_buf_fmt(&conn->out, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n", status, reason(status), len);
+    if (len) amb_buf_fmt(&conn->out, "Content-Type: %s\r\n", type);
+    if (retry_after_s > 0) amb_buf_fmt(&conn->out, "Retry-After: %d\r\n", retry_after_s);
+    if (conn->close_after) amb_buf_str(&conn->out, "Connection: close\r\n");
+    amb_buf_str(&conn->out, "\r\n");
+    amb_buf_add(&conn->out, body, len);
 }
 
-static void conn_flush(struct amb_conn *c) {
-    if (!drain(c->watch.fd, &c->out)) {
-        conn_end(c);
+static void conn_flush(struct amb_conn *conn) {
+    if (!drain(conn->watch.fd, &conn->out)) {
+        conn_end(conn);
         return;
     }
-    if (!c->out.len && c->state == CONN_CLOSING) {
-        conn_end(c);
+    if (!conn->out.len && conn->state == CONN_CLOSING) {
+        conn_end(conn);
         return;
     }
-    amb_loop_mod(&c->watch, EPOLLIN | (c->out.len ? (uint32_t)EPOLLOUT : 0u));
-}
-
-static void conn_advance(struct amb_conn *c) {
-    while (c->state == CONN_READING && c->in.len) {
-        struct amb_http_msg m;
-        long n = amb_http_parse(c->in.data, c->in.len, false, c->server->body_max, &m);
-        if (!n) return;
-        if (n < 0) {
-            c->close_after = true;
-            conn_answer(c, (int)-n, "text/plain", NULL, 0, 0);
-            conn_state(c, CONN_CLOSING);
-            conn_flush(c);
+    amb_loop_mod(&conn->watch, EPOLLIN | (conn->out.len ? (uint32_t)EPOLLOUT : 0u));
+}
+
+static void conn_advance(struct amb_conn *conn) {
+    while (conn->state == CONN_READING && conn->in.len) {
+        struct amb_http_msg msg;
+        long taken = amb_http_parse(conn->in.data, conn->in.len, false, conn->server->body_max, &msg);
+        if (!taken) return;
+        if (taken < 0) {
+            conn->close_after = true;
+            conn_answer(conn, (int)-taken, "text/plain", NULL, 0, 0);
+            conn_state(conn, CONN_CLOSING);
+            conn_flush(conn);
             return;
         }
         struct amb_http_req *req = amb_alloc(sizeof *req);
-        req->conn = c;
-        c->req = req;
-        c->close_after = m.close;
-        memcpy(req->method, m.method, sizeof req->method);
-        size_t pn = m.path_len < sizeof req->path ? m.path_len : sizeof req->path - 1;
-        memcpy(req->path, m.path, pn);
-        req->body = amb_alloc(m.body_len + 1);
-        memcpy(req->body, c->in.data + m.body_at, m.body_len);
-        req->body_len = m.body_len;
-        amb_buf_drop(&c->in, (size_t)n);
-        if (!c->in.len) amb_buf_free(&c->in); /* hundreds of idle connections must not hold buffers */
-        conn_state(c, CONN_ANSWERING);
-        c->server->fn(c->server->arg, req);
+        req->conn = conn;
+        conn->req = req;
+        conn->close_after = msg.close;
+        memcpy(req->method, msg.method, sizeof req->method);
+        size_t path_len = msg.path_len < sizeof req->path ? msg.path_len : sizeof req->path - 1;
+        memcpy(req->path, msg.path, path_len);
+        req->body = amb_alloc(msg.body_len + 1);
+        memcpy(req->body, conn->in.data + msg.body_at, msg.body_len);
+        req->body_len = msg.body_len;
+        amb_buf_drop(&conn->in, (size_t)taken);
+        if (!conn->in.len) amb_buf_free(&conn->in); /* hundreds of idle connections must not hold buffers */
+        conn_state(conn, CONN_ANSWERING);
+        conn->server->fn(conn->server->arg, req);
         return; /* the reply goes on with what is left in the input */
     }
 }
 
-static void conn_event(struct amb_watch *w, uint32_t events) {
-    struct amb_conn *c = w->arg;
+static void conn_event(struct amb_watch *watch, uint32_t events) {
+    struct amb_conn *conn = watch->arg;
     bool alive = !(events & EPOLLERR);
-    if (alive && (events & (EPOLLIN | EPOLLHUP))) alive = fill(w->fd, &c->in);
+    if (alive && (events & (EPOLLIN | EPOLLHUP))) alive = fill(watch->fd, &conn->in);
     /* Requests are not pipelined: more than a request's worth waiting is abuse. */
-    if (!alive || c->in.len > c->server->body_max + AMB_HTTP_HEAD_MAX + READ_CHUNK) {
-        conn_end(c);
+    if (!alive || conn->in.len > conn->server->body_max + AMB_HTTP_HEAD_MAX + READ_CHUNK) {
+        conn_end(conn);
         return;
     }
     if (events & EPOLLOUT) {
-        conn_flush(c); /* may end c, and then the event has nothing else to say */
+        conn_flush(conn); /* may end conn, and then the event has nothing else to say */
         return;
     }
-    if (c->state == CONN_READING) conn_advance(c);
+    if (conn->state == CONN_READING) conn_advance(conn);
 }
 
 void amb_http_reply(struct amb_http_req *req, int status, const char *type, const void *body, size_t len,
                     int retry_after_s) {
-    struct amb_conn *c = req->conn;
+    struct amb_conn *conn = req->conn;
     free(req->body);
     free(req);
-    if (!c) return;
-    c->req = NULL;
-    conn_answer(c, status, type, body, len, retry_after_s);
-    conn_state(c, c->close_after ? CONN_CLOSING : CONN_READING);
-    bool more = c->state == CONN_READING && c->in.len > 0;
+    if (!conn) return;
+    conn->req = NULL;
+    conn_answer(conn, status, type, body, len, retry_after_s);
+    conn_state(conn, conn->close_after ? CONN_CLOSING : CONN_READING);
+    bool more = conn->state == CONN_READING && conn->in.len > 0;
     if (more)
-        conn_advance(c);
+        conn_advance(conn);
     else
-        conn_flush(c);
+        conn_flush(conn);
 }
 
-static void server_event(struct amb_watch *w, uint32_t events) {
-    struct amb_server *s = w->arg;
+static void server_event(struct amb_watch *watch, uint32_t events) {
+    struct amb_server *server = watch->arg;
     (void)events;
     for (;;) {
-        int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        int fd = accept4(watch->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd < 0) return;
-        if (s->open >= s->max) {
+        if (server->open >= server->max) {
             /* Full: the connection longest without a request makes way, so that idle users can't keep
              * workers and health probes out. */
-            struct amb_conn *c = s->first;
-            while (c && c->state == CONN_ANSWERING) c = c->next;
-            if (!c) {
+            struct amb_conn *conn = server->first;
+            while (conn && conn->state == CONN_ANSWERING) conn = conn->next;
+            if (!conn) {
                 close(fd);
                 continue;
             }
-            conn_end(c);
+            conn_end(conn);
         }
-        struct amb_conn *c = amb_alloc(sizeof *c);
-        c->watch = (struct amb_watch){fd, conn_event, c, 0};
-        c->server = s;
-        conn_append(c);
-        s->open++;
-        if (amb_loop_add(&c->watch, EPOLLIN) < 0) {
-            conn_end(c);
+        struct amb_conn *conn = amb_alloc(sizeof *conn);
+        conn->watch = (struct amb_watch){fd, conn_event, conn, 0};
+        conn->server = server;
+        conn_append(conn);
+        server->open++;
+        if (amb_loop_add(&conn->watch, EPOLLIN) < 0) {
+            conn_end(conn);
             continue;
         }
-        conn_state(c, CONN_READING);
+        conn_state(conn, CONN_READING);
     }
 }
 
 struct amb_server *amb_server_open(const char *addr, int max, size_t body_max, amb_ms idle_ms,
                                    amb_http_handler fn, void *arg) {
-    struct sockaddr_in a;
-    if (!parse_addr(addr, &a)) {
+    struct sockaddr_in address;
+    if (!parse_addr(addr, &address)) {
         errno = EINVAL;
         return NULL;
     }
@@ -361,19 +366,19 @@
     int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one); /* accepted sockets inherit it */
-    if (bind(fd, (struct sockaddr *)&a, sizeof a) < 0 || listen(fd, 256) < 0) {
+    if (bind(fd, (struct sockaddr *)&address, sizeof address) < 0 || listen(fd, 256) < 0) {
         close(fd);
         return NULL;
     }
-    struct amb_server *s = amb_alloc(sizeof *s);
-    s->watch = (struct amb_watch){fd, server_event, s, 0};
-    s->max = max;
-    s->body_max = body_max;
-    s->idle_ms = idle_ms;
-    s->fn = fn;
-    s->arg = arg;
-    amb_loop_add(&s->watch, EPOLLIN);
-    return s;
+    struct amb_server *server = amb_alloc(sizeof *server);
+    server->watch = (struct amb_watch){fd, server_event, server, 0};
+    server->max = max;
+    server->body_max = body_max;
+    server->idle_ms = idle_ms;
+    server->fn = fn;
+    server->arg = arg;
+    amb_loop_add(&server->watch, EPOLLIN);
+    return server;
 }
 
 /* ---- client ---- */
@@ -398,29 +403,29 @@
     client_max = max_connections;
 }
 
-static void spare_unlink(struct amb_call *c) {
-    *(c->prev ? &c->prev->next : &spares) = c->next;
-    if (c->next) c->next->prev = c->prev;
-    c->prev = c->next = NULL;
+static void spare_unlink(struct amb_call *call) {
+    *(call->prev ? &call->prev->next : &spares) = call->next;
+    if (call->next) call->next->prev = call->prev;
+    call->prev = call->next = NULL;
 }
 
-static void call_end(struct amb_call *c) {
-    if (c->state == CALL_SPARE) spare_unlink(c);
-    amb_timer_stop(&c->deadline);
-    if (c->watch.fd >= 0) {
-        amb_loop_del(&c->watch);
-        close(c->watch.fd);
+static void call_end(struct amb_call *call) {
+    if (call->state == CALL_SPARE) spare_unlink(call);
+    amb_timer_stop(&call->deadline);
+    if (call->watch.fd >= 0) {
+        amb_loop_del(&call->watch);
+        close(call->watch.fd);
         client_open--;
     }
-    amb_buf_free(&c->in);
-    amb_buf_free(&c->out);
-    free(c);
+    amb_buf_free(&call->in);
+    amb_buf_free(&call->out);
+    free(call);
 }
 
-static void call_fail(struct amb_call *c) {
-    amb_http_done fn = c->state == CALL_SPARE ? NULL : c->fn;
-    void *arg = c->arg;
-    call_end(c);
+static void call_fail(struct amb_call *call) {
+    amb_http_done fn = call->state == CALL_SPARE ? NULL : call->fn;
+    void *arg = call->arg;
+    call_end(call);
     if (fn) fn(arg, 0, NULL, 0);
 }
 
@@ -428,81 +433,81 @@
     call_fail(arg);
 }
 
-static void call_state(struct amb_call *c, enum call_state to) {
-    c->state = to;
+static void call_state(struct amb_call *call, enum call_state to) {
+    call->state = to;
     if (to == CALL_SPARE) {
-        c->prev = NULL;
-        c->next = spares;
-        if (spares) spares->prev = c;
-        spares = c;
-        amb_timer_in(&c->deadline, 10000, call_expired, c);
-        amb_buf_free(&c->in);
-        amb_buf_free(&c->out);
+        call->prev = NULL;
+        call->next = spares;
+        if (spares) spares->prev = call;
+        spares = call;
+        amb_timer_in(&call->deadline, 10000, call_expired, call);
+        amb_buf_free(&call->in);
+        amb_buf_free(&call->out);
     }
 }
 
-static void call_read(struct amb_call *c) {
-    bool open = fill(c->watch.fd, &c->in);
-    if (c->state == CALL_SPARE || c->in.len > RESPONSE_MAX) {
-        call_fail(c);
+static void call_read(struct amb_call *call) {
+    bool open = fill(call->watch.fd, &call->in);
+    if (call->state == CALL_SPARE || call->in.len > RESPONSE_MAX) {
+        call_fail(call);
         return;
     }
-    struct amb_http_msg m;
-    long n = amb_http_parse(c->in.data ? c->in.data : "", c->in.len, true, RESPONSE_MAX, &m);
-    if (n < 0 || (!n && !open)) {
-        call_fail(c);
+    struct amb_http_msg msg;
+    long taken = amb_http_parse(call->in.data ? call->in.data : "", call->in.len, true, RESPONSE_MAX, &msg);
+    if (taken < 0 || (!taken && !open)) {
+        call_fail(call);
         return;
     }
-    if (!n) return;
-    struct amb_buf in = c->in;
-    memset(&c->in, 0, sizeof c->in);
-    amb_http_done fn = c->fn;
-    void *arg = c->arg;
-    amb_timer_stop(&c->deadline);
-    if (open && !m.close && (size_t)n == in.len)
-        call_state(c, CALL_SPARE);
+    if (!taken) return;
+    struct amb_buf in = call->in;
+    memset(&call->in, 0, sizeof call->in);
+    amb_http_done fn = call->fn;
+    void *arg = call->arg;
+    amb_timer_stop(&call->deadline);
+    if (open && !msg.close && (size_t)taken == in.len)
+        call_state(call, CALL_SPARE);
     else
-        call_end(c);
-    fn(arg, m.status, in.data + m.body_at, m.body_len);
+        call_end(call);
+    fn(arg, msg.status, in.data + msg.body_at, msg.body_len);
     amb_buf_free(&in);
 }
 
 /* Sends what it can, and waits for the answer, or for room for the rest. False: the connection is over. */
-static bool call_send(struct amb_call *c) {
-    if (!drain(c->watch.fd, &c->out)) return false;
-    if (!c->out.len) call_state(c, CALL_WAITING);
-    amb_loop_mod(&c->watch, c->out.len ? EPOLLOUT : EPOLLIN);
+static bool call_send(struct amb_call *call) {
+    if (!drain(call->watch.fd, &call->out)) return false;
+    if (!call->out.len) call_state(call, CALL_WAITING);
+    amb_loop_mod(&call->watch, call->out.len ? EPOLLOUT : EPOLLIN);
     return true;
 }
 
-static void call_write(struct amb_call *c) {
-    if (c->state == CALL_CONNECTING) {
+static void call_write(struct amb_call *call) {
+    if (call->state == CALL_CONNECTING) {
         int err = 0;
         socklen_t n = sizeof err;
-        getsockopt(c->watch.fd, SOL_SOCKET, SO_ERROR, &err, &n);
+        getsockopt(call->watch.fd, SOL_SOCKET, SO_ERROR, &err, &n);
         if (err) {
-            call_fail(c);
+            call_fail(call);
             return;
         }
-        call_state(c, CALL_SENDING);
+        call_state(call, CALL_SENDING);
     }
-    if (c->state == CALL_SENDING && !call_send(c)) call_fail(c);
+    if (call->state == CALL_SENDING && !call_send(call)) call_fail(call);
 }
 
-static void call_event(struct amb_watch *w, uint32_t events) {
-    struct amb_call *c = w->arg;
+static void call_event(struct amb_watch *watch, uint32_t events) {
+    struct amb_call *call = watch->arg;
     if ((events & (EPOLLERR | EPOLLHUP)) && !(events & EPOLLIN)) {
-        call_fail(c);
+        call_fail(call);
         return;
     }
     if (events & EPOLLIN) {
-        call_read(c);
+        call_read(call);
         return;
     }
-    if (events & EPOLLOUT) call_write(c);
+    if (events & EPOLLOUT) call_write(call);
 }
 
-static bool call_connect(struct amb_call *c) {
+static bool call_connect(struct amb_call *call) {
     if (client_open >= client_max && spares) {
         struct amb_call *oldest = spares;
         while (oldest->next) oldest = oldest->next;
@@ -513,14 +518,14 @@
     if (fd < 0) return false;
     int one = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-    if (connect(fd, (struct sockaddr *)&c->addr, sizeof c->addr) < 0 && errno != EINPROGRESS) {
+    if (connect(fd, (struct sockaddr *)&call->addr, sizeof call->addr) < 0 && errno != EINPROGRESS) {
         close(fd);
         return false;
     }
-    c->watch = (struct amb_watch){fd, call_event, c, 0};
-    if (amb_loop_add(&c->watch, EPOLLOUT) < 0) {
+    call->watch = (struct amb_watch){fd, call_event, call, 0};
+    if (amb_loop_add(&call->watch, EPOLLOUT) < 0) {
         close(fd);
-        c->watch.fd = -1;
+        call->watch.fd = -1;
         return false;
     }
     client_open++;
@@ -529,31 +534,33 @@
 
 struct amb_call *amb_http_call(const char *addr, const char *method, const char *path, const char *type,
                                const void *body, size_t len, amb_ms timeout, amb_http_done fn, void *arg) {
-    struct sockaddr_in a;
-    memset(&a, 0, sizeof a);
-    bool known = parse_addr(addr, &a);
-    struct amb_call *c = spares;
-    while (c && (c->addr.sin_port != a.sin_port || c->addr.sin_addr.s_addr != a.sin_addr.s_addr)) c = c->next;
-    bool open = c != NULL;
+    struct sockaddr_in address;
+    memset(&address, 0, sizeof address);
+    bool known = parse_addr(addr, &address);
+    struct amb_call *call = spares;
+    while (call &&
+           (call->addr.sin_port != address.sin_port || call->addr.sin_addr.s_addr != address.sin_addr.s_addr))
+        call = call->next;
+    bool open = call != NULL;
     if (open) {
-        spare_unlink(c);
-        c->state = CALL_SENDING;
+        spare_unlink(call);
+        call->state = CALL_SENDING;
     } else {
-        c = amb_alloc(sizeof *c);
-        c->watch.fd = -1;
-        c->addr = a;
-        if (known) known = call_connect(c);
+        call = amb_alloc(sizeof *call);
+        call->watch.fd = -1;
+        call->addr = address;
+        if (known) known = call_connect(call);
     }
-    c->fn = fn;
-    c->arg = arg;
-    amb_buf_fmt(&c->out, "%s ", method);
-    amb_buf_str(&c->out, path);
-    amb_buf_fmt(&c->out, " HTTP/1.1\r\nHost: %s\r\nContent-Length: %zu\r\n", addr, len);
-    if (len) amb_buf_fmt(&c->out, "Content-Type: %s\r\n", type);
-    amb_buf_str(&c->out, "\r\n");
-    amb_buf_add(&c->out, body, len);
-    if (open) known = call_send(c);
+    call->fn = fn;
+    call->arg = arg;
+    amb_buf_fmt(&call->out, "%s ", method);
+    amb_buf_str(&call->out, path);
+    amb_buf_fmt(&call->out, " HTTP/1.1\r\nHost: %s\r\nContent-Length: %zu\r\n", addr, len);
+    if (len) amb_buf_fmt(&call->out, "Content-Type: %s\r\n", type);
+    amb_buf_str(&call->out, "\r\n");
+    amb_buf_add(&call->out, body, len);
+    if (open) known = call_send(call);
     /* A call that can't even begin fails from the loop like any other: never inside this function. */
-    amb_timer_in(&c->deadline, known ? timeout : 0, call_expired, c);
-    return c;
+    amb_timer_in(&call->deadline, known ? timeout : 0, call_expired, call);
+    return call;
 }
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -10,86 +10,86 @@
 
 enum { BATCH = 64 };
 
-static int ep = -1;
+static int epoll_fd = -1;
 static bool stopping;
-static struct amb_timer **heap; /* heap[1..count] */
-static size_t count, cap;
+static struct amb_timer **heap; /* heap[1..count], the soonest first */
+static size_t count, capacity;
 static struct epoll_event ready[BATCH]; /* events being handed out; a deleted watch is struck out here */
 static int nready;
 
 void amb_loop_init(void) {
-    if (ep < 0) ep = epoll_create1(EPOLL_CLOEXEC);
-    if (ep < 0) {
+    if (epoll_fd < 0) epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    if (epoll_fd < 0) {
         amb_error("epoll: %s", strerror(errno));
         exit(1);
     }
 }
 
-static void put(size_t i, struct amb_timer *t) {
-    heap[i] = t;
-    t->slot = i;
+static void put(size_t i, struct amb_timer *timer) {
+    heap[i] = timer;
+    timer->slot = i;
 }
 
 static void sift(size_t i) {
-    struct amb_timer *t = heap[i];
-    for (; i > 1 && heap[i / 2]->at > t->at; i /= 2) put(i, heap[i / 2]);
+    struct amb_timer *timer = heap[i];
+    for (; i > 1 && heap[i / 2]->at > timer->at; i /= 2) put(i, heap[i / 2]);
     for (;;) {
-        size_t c = 2 * i;
-        if (c > count) break;
-        if (c < count && heap[c + 1]->at < heap[c]->at) c++;
-        if (heap[c]->at >= t->at) break;
-        put(i, heap[c]);
-        i = c;
+        size_t child = 2 * i;
+        if (child > count) break;
+        if (child < count && heap[child + 1]->at < heap[child]->at) child++;
+        if (heap[child]->at >= timer->at) break;
+        put(i, heap[child]);
+        i = child;
     }
-    put(i, t);
+    put(i, timer);
 }
 
-void amb_timer_set(struct amb_timer *t, amb_ms at, void (*fn)(void *), void *arg) {
-    t->fn = fn;
-    t->arg = arg;
-    t->at = at;
-    if (!t->slot) {
-        if (count + 2 > cap) {
-            cap = cap ? cap * 2 : 64;
-            heap = amb_grow(heap, cap * sizeof *heap);
+void amb_timer_set(struct amb_timer *timer, amb_ms at, void (*fn)(void *), void *arg) {
+    timer->fn = fn;
+    timer->arg = arg;
+    timer->at = at;
+    if (!timer->slot) {
+        if (count + 2 > capacity) {
+            capacity = capacity ? capacity * 2 : 64;
+            heap = amb_grow(heap, capacity * sizeof *heap);
         }
-        put(++count, t);
+        put(++count, timer);
     }
-    sift(t->slot);
+    sift(timer->slot);
 }
 
-void amb_timer_in(struct amb_timer *t, amb_ms delay, void (*fn)(void *), void *arg) {
-    amb_timer_set(t, amb_now() + delay, fn, arg);
+void amb_timer_in(struct amb_timer *timer, amb_ms delay, void (*fn)(void *), void *arg) {
+    amb_timer_set(timer, amb_now() + delay, fn, arg);
 }
 
-void amb_timer_stop(struct amb_timer *t) {
-    size_t i = t->slot;
+void amb_timer_stop(struct amb_timer *timer) {
+    size_t i = timer->slot;
     if (!i) return;
-    t->slot = 0;
+    timer->slot = 0;
     struct amb_timer *last = heap[count--];
-    if (last != t) {
+    if (last != timer) {
         put(i, last);
         sift(i);
     }
 }
 
-int amb_loop_add(struct amb_watch *w, uint32_t events) {
-    w->events = events;
-    struct epoll_event e = {.events = events, .data.ptr = w};
-    return epoll_ctl(ep, EPOLL_CTL_ADD, w->fd, &e);
+int amb_loop_add(struct amb_watch *watch, uint32_t events) {
+    watch->events = events;
+    struct epoll_event event = {.events = events, .data.ptr = watch};
+    return epoll_ctl(epoll_fd, EPOLL_CTL_ADD, watch->fd, &event);
 }
 
-void amb_loop_mod(struct amb_watch *w, uint32_t events) {
-    if (w->events == events) return;
-    w->events = events;
-    struct epoll_event e = {.events = events, .data.ptr = w};
-    epoll_ctl(ep, EPOLL_CTL_MOD, w->fd, &e);
+void amb_loop_mod(struct amb_watch *watch, uint32_t events) {
+    if (watch->events == events) return;
+    watch->events = events;
+    struct epoll_event event = {.events = events, .data.ptr = watch};
+    epoll_ctl(epoll_fd, EPOLL_CTL_MOD, watch->fd, &event);
 }
 
-void amb_loop_del(struct amb_watch *w) {
-    epoll_ctl(ep, EPOLL_CTL_DEL, w->fd, NULL);
+void amb_loop_del(struct amb_watch *watch) {
+    epoll_ctl(epoll_fd, EPOLL_CTL_DEL, watch->fd, NULL);
     for (int i = 0; i < nready; i++)
-        if (ready[i].data.ptr == w) ready[i].data.ptr = NULL;
+        if (ready[i].data.ptr == watch) ready[i].data.ptr = NULL;
 }
 
 void amb_loop_stop(void) {
@@ -99,10 +99,10 @@
 /* Bounded, so that a timer that sets itself again at once can't keep the sockets waiting. */
 static void run_due(void) {
     amb_ms now = amb_now();
-    for (int n = 0; n < BATCH && count && heap[1]->at <= now; n++) {
-        struct amb_timer *t = heap[1];
-        amb_timer_stop(t);
-        t->fn(t->arg);
+    for (int run = 0; run < BATCH && count && heap[1]->at <= now; run++) {
+        struct amb_timer *timer = heap[1];
+        amb_timer_stop(timer);
+        timer->fn(timer->arg);
     }
 }
 
@@ -111,13 +111,13 @@
         run_due();
         amb_ms wait = count ? heap[1]->at - amb_now() : 1000;
         if (wait < 0) wait = 0;
-        nready = epoll_wait(ep, ready, BATCH, (int)(wait > 60000 ? 60000 : wait));
+        nready = epoll_wait(epoll_fd, ready, BATCH, (int)(wait > 60000 ? 60000 : wait));
         for (int i = 0; i < nready; i++) {
             /* Whatever made us late, a stall in epoll_wait or a slow handler: what fell due meanwhile, such
              * as a leader's silence, goes before what came meanwhile (docs/safety.md). */
             run_due();
-            struct amb_watch *w = ready[i].data.ptr;
-            if (w) w->fn(w, ready[i].events);
+            struct amb_watch *watch = ready[i].data.ptr;
+            if (watch) watch->fn(watch, ready[i].events);
         }
         nready = 0;
     }
--- a/lib/place.c
+++ b/lib/place.c
@@ -4,14 +4,14 @@
 #include <math.h>
 #include <string.h>
 
-bool amb_latest_first(char (*names)[AMB_NAME], double *gb, uint32_t *n, uint32_t most, const char *name,
+bool amb_latest_first(char (*names)[AMB_NAME], double *gb, uint32_t *count, uint32_t most, const char *name,
                       double figure) {
     uint32_t i = 0;
-    while (i < *n && strcmp(names[i], name)) i++;
-    bool fresh = i == *n;
+    while (i < *count && strcmp(names[i], name)) i++;
+    bool fresh = i == *count;
     if (fresh) {
-        if (*n < most) ++*n;
-        i = *n - 1;
+        if (*count < most) ++*count;
+        i = *count - 1;
     }
     memmove(names[1], names[0], i * sizeof names[0]);
     strcpy(names[0], name);
@@ -22,25 +22,25 @@
     return fresh;
 }
 
-bool amb_spec_allows(const struct amb_spec *s, const char *type) {
-    for (uint32_t i = 0; i < s->ntypes; i++)
-        if (!strcmp(s->types[i], type)) return true;
-    return !s->ntypes;
+bool amb_spec_allows(const struct amb_spec *spec, const char *type) {
+    for (uint32_t i = 0; i < spec->ntypes; i++)
+        if (!strcmp(spec->types[i], type)) return true;
+    return !spec->ntypes;
 }
 
-int amb_catalog_type(const struct amb_catalog *c, const char *name) {
-    for (uint32_t i = 0; i < c->ntypes; i++)
-        if (!strcmp(c->types[i].name, name)) return (int)i;
+int amb_catalog_type(const struct amb_catalog *catalog, const char *name) {
+    for (uint32_t i = 0; i < catalog->ntypes; i++)
+        if (!strcmp(catalog->types[i].name, name)) return (int)i;
     return -1;
 }
 
-int amb_catalog_zone(struct amb_catalog *c, const char *name) {
+int amb_catalog_zone(struct amb_catalog *catalog, const char *name) {
     if (!*name) return -1;
-    for (uint32_t i = 0; i < c->nzones; i++)
-        if (!strcmp(c->zones[i], name)) return (int)i;
-    if (c->nzones == AMB_ZONES) return -1;
-    strcpy(c->zones[c->nzones], name);
-    return (int)c->nzones++;
+    for (uint32_t i = 0; i < catalog->nzones; i++)
+        if (!strcmp(catalog->zones[i], name)) return (int)i;
+    if (catalog->nzones == AMB_ZONES) return -1;
+    strcpy(catalog->zones[catalog->nzones], name);
+    return (int)catalog->nzones++;
 }
 
 bool amb_res_fits(const struct amb_res *need, const struct amb_res *room) {
@@ -49,20 +49,21 @@
            need->memory <= room->memory + slack;
 }
 
-void amb_res_add(struct amb_res *r, const struct amb_res *d, double times) {
-    r->cpus += d->cpus * times;
-    r->gpus += d->gpus * times;
-    r->memory += d->memory * times;
+void amb_res_add(struct amb_res *sum, const struct amb_res *part, double times) {
+    sum->cpus += part->cpus * times;
+    sum->gpus += part->gpus * times;
+    sum->memory += part->memory * times;
 }
 
 uint32_t amb_place_spread_most(uint32_t tasks) {
     return (tasks + 1) / 2;
 }
 
-uint32_t amb_job_tasks_in_unknown_zones(const struct amb_job *j) {
+uint32_t amb_job_tasks_in_unknown_zones(const struct amb_job *job) {
     uint32_t known = 0;
-    for (uint32_t z = 0; z < AMB_ZONES; z++) known += j->zone_used[z];
-    return j->nbound > known ? j->nbound - known : 0; /* more: a plan counts tasks that are not placed yet */
+    for (uint32_t zone = 0; zone < AMB_ZONES; zone++) known += job->zone_used[zone];
+    return job->nbound > known ? job->nbound - known
+                               : 0; /* more: a plan counts tasks that are not placed yet */
 }
 
 /* A start in time is what counts: of two machines that are both too slow, the faster one is hardly better,
@@ -79,43 +80,43 @@
 }
 
 /* Work of lower priority makes way when the expected work comes; other batch work stays clear of it. */
-static bool kept_from(const struct amb_wish *w, const struct amb_slot *s) {
-    return w->patient && s->kept_for >= 0 && (int)w->priority >= s->kept_for;
+static bool kept_from(const struct amb_wish *wish, const struct amb_slot *slot) {
+    return wish->patient && slot->kept_for >= 0 && (int)wish->priority >= slot->kept_for;
 }
 
-struct amb_res amb_place_room(const struct amb_slot *s, bool soon) {
-    struct amb_res room = s->room;
-    if (soon) amb_res_add(&room, &s->soon, 1);
+struct amb_res amb_place_room(const struct amb_slot *slot, bool soon) {
+    struct amb_res room = slot->room;
+    if (soon) amb_res_add(&room, &slot->soon, 1);
     return room;
 }
 
-bool amb_place_allowed(const struct amb_wish *w, const struct amb_slot *s) {
-    if (!s->usable || s->type < 0 || s->zone < 0) return false;
-    if (!(w->type_mask >> s->type & 1)) return false;
-    if (w->zone >= 0 && w->zone != s->zone) return false;
-    if (s->spot && !w->spot) return false;
-    if (w->can_wait && kept_from(w, s)) return false;
-    if (w->patient && s->claimed) return false;
-    return !w->zone_most || w->zone_used[s->zone] < w->zone_most;
+bool amb_place_allowed(const struct amb_wish *wish, const struct amb_slot *slot) {
+    if (!slot->usable || slot->type < 0 || slot->zone < 0) return false;
+    if (!(wish->type_mask >> slot->type & 1)) return false;
+    if (wish->zone >= 0 && wish->zone != slot->zone) return false;
+    if (slot->spot && !wish->spot) return false;
+    if (wish->can_wait && kept_from(wish, slot)) return false;
+    if (wish->patient && slot->claimed) return false;
+    return !wish->zone_most || wish->zone_used[slot->zone] < wish->zone_most;
 }
 
-int amb_place_pick(const struct amb_wish *w, const struct amb_slot *slots, uint32_t n, bool soon) {
+int amb_place_pick(const struct amb_wish *wish, const struct amb_slot *slots, uint32_t count, bool soon) {
     int best = -1;
     double best_score = -DBL_MAX;
-    for (uint32_t i = 0; i < n; i++) {
-        const struct amb_slot *s = &slots[i];
-        if (!amb_place_allowed(w, s)) continue;
-        const struct amb_res room = amb_place_room(s, soon);
-        if (!amb_res_fits(&w->need, &room)) continue;
+    for (uint32_t i = 0; i < count; i++) {
+        const struct amb_slot *slot = &slots[i];
+        if (!amb_place_allowed(wish, slot)) continue;
+        const struct amb_res room = amb_place_room(slot, soon);
+        if (!amb_res_fits(&wish->need, &room)) continue;
         /* An image at hand, or soon fetched, first: fetching takes longer than most tasks may wait. Then spot
          * machines, which only some jobs can use. Then the fullest, so that others empty and can be returned.
          */
-        double score = (w->patient ? 0.5 : 7) * (1 - s->late) + (s->spot ? 2 : 0);
-        if (s->size_gpus > 0) score += 1 - (room.gpus - w->need.gpus) / s->size_gpus;
-        if (kept_from(w, s)) score -= 2;
+        double score = (wish->patient ? 0.5 : 7) * (1 - slot->late) + (slot->spot ? 2 : 0);
+        if (slot->size_gpus > 0) score += 1 - (room.gpus - wish->need.gpus) / slot->size_gpus;
+        if (kept_from(wish, slot)) score -= 2;
         /* Tasks that last keep together: a machine with one of them can't be returned, and a machine with
          * none can as soon as its batch work ends. */
-        if (s->size_gpus > 0 && w->lasting) score += 1.5 * s->lasting / s->size_gpus;
+        if (slot->size_gpus > 0 && wish->lasting) score += 1.5 * slot->lasting / slot->size_gpus;
         if (score > best_score) {
             best_score = score;
             best = (int)i;
--- a/lib/round.c
+++ b/lib/round.c
@@ -86,8 +86,8 @@
         if ((soon || fresh) && !amb_zone_unreachable(r->n, m->zone)) add_machine(r, m, true);
     }
     if (!booting) return;
-    for (struct amb_charter *c = r->n->rental.charters; c; c = c->next)
-        if ((c->state == AMB_CHARTER_RECORDING || c->state == AMB_CHARTER_ASKING) &&
+    for (struct amb_rental_request *c = r->n->rental.requests; c; c = c->next)
+        if ((c->state == AMB_REQUEST_RECORDING || c->state == AMB_REQUEST_ASKING) &&
             !amb_zone_unreachable(r->n, c->zone))
             for (uint32_t i = 0; i < c->count; i++) amb_round_add_type(r, c->type, c->zone, c->spot);
 }
--- a/tests/leader_fixture.c
+++ b/tests/leader_fixture.c
@@ -82,7 +82,7 @@
     node->rental.catalog_at = now;
     amb_catalog_zone(&node->catalog, "a");
     amb_catalog_zone(&node->catalog, "b");
-    node->ctl.beat_s = 1;
+    node->ctl.turn_s = 1;
     node->ctl.leading_since = node->ctl.loaded_at = now;
     node->jobs.loaded = true;
     node->jobs.fresh_at = node->jobs.fresh_sent_at = now;
--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -78,10 +78,12 @@
     assert_int_equal(j->state, AMB_JOB_CANCELLED);
     node->jobs.epoch = 1234;
     ask_peers();
-    struct fake_call *beat = open_call("POST", "/peer/heartbeat");
-    amb_buf_add(&beat->body, "", 1);
-    if (!strstr(beat->body.data, "\"epoch\":1234")) fail_msg("a question does not say what the node knows");
-    if (!strstr(beat->body.data, "wk-1")) fail_msg("a message to a peer does not name the cancelled job");
+    struct fake_call *heartbeat = open_call("POST", "/peer/heartbeat");
+    amb_buf_add(&heartbeat->body, "", 1);
+    if (!strstr(heartbeat->body.data, "\"epoch\":1234"))
+        fail_msg("a question does not say what the node knows");
+    if (!strstr(heartbeat->body.data, "wk-1"))
+        fail_msg("a message to a peer does not name the cancelled job");
     peer_speaks(0, (struct said){.term = TERM});
     assert_int_equal(latest()->status, 200);
     amb_buf_add(&latest()->body, "", 1);
@@ -103,7 +105,7 @@
 
 /* What a leader of a large fleet tells the others fits in a message, at its worst and all the more as a rule.
  */
-static void beats_fit(void **state) {
+static void heartbeats_fit(void **state) {
     (void)state;
     static const struct {
         const char *what;
@@ -135,7 +137,7 @@
         cmocka_unit_test_setup_teardown(peers_cancellations_are_heeded, begin, end),
         cmocka_unit_test_setup_teardown(cancellations_are_told_to_peers, begin, end),
         cmocka_unit_test_setup_teardown(cancellation_by_hint, setup, end),
-        cmocka_unit_test_setup_teardown(beats_fit, setup, end),
+        cmocka_unit_test_setup_teardown(heartbeats_fit, setup, end),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_leadership.c
+++ b/tests/test_leadership.c
@@ -184,7 +184,7 @@
         struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
         bound(j, 0, "m-1", 1);
         amb_rental_want(node, 0, 0, false, 1);
-        node->rental.charters->state = AMB_CHARTER_ASKING;
+        node->rental.requests->state = AMB_REQUEST_ASKING;
         node->election.role = rows[i].role;
         node->election.renewed_at = amb_now() - rows[i].renewed;
         node->peers.count = 1; /* whose word has never come */
--- a/tests/test_machines.c
+++ b/tests/test_machines.c
@@ -104,13 +104,13 @@
 
 /* Machines that boot beyond a cut are neither waited for nor rented there; a zone where many have died still
  * has its place in the plan. */
-static void dark_zones(void **state) {
+static void unreachable_zones(void **state) {
     (void)state;
     static const struct {
         const char *what;
         uint32_t heard_a, silent_a, heard_b, silent_b;
         amb_ms leading;
-        bool deputy, dark; /* deputy: in b */
+        bool deputy, unreachable; /* deputy: in b */
     } rows[] = {
         {"all heard", 10, 0, 10, 0, 60000, false, false},
         {"nearly all silent", 10, 0, 1, 9, 60000, false, true},
@@ -143,7 +143,7 @@
         node->deputy.known[0].zone = 1;
         node->deputy.known[0].present = rows[i].deputy;
         amb_fleet_tick(node, now);
-        if (amb_zone_unreachable(node, 1) != rows[i].dark || amb_zone_unreachable(node, 0))
+        if (amb_zone_unreachable(node, 1) != rows[i].unreachable || amb_zone_unreachable(node, 0))
             fail_msg("%s", rows[i].what);
     }
 }
@@ -156,7 +156,7 @@
         cmocka_unit_test_setup_teardown(returned_machines_are_not_used_again, begin, end),
         cmocka_unit_test_setup_teardown(returned_machines_never_come_back, setup, end),
         cmocka_unit_test_setup_teardown(learned_when_nearly_all_have_shown_the_token, setup, end),
-        cmocka_unit_test_setup_teardown(dark_zones, setup, end),
+        cmocka_unit_test_setup_teardown(unreachable_zones, setup, end),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/test_records.c
+++ b/tests/test_records.c
@@ -40,7 +40,7 @@
 
 static struct fake_call *begin_rental_removal(void) {
     amb_rental_want(node, 0, 0, false, 1);
-    node->rental.charters->state = AMB_CHARTER_REMOVING;
+    node->rental.requests->state = AMB_REQUEST_REMOVING;
     amb_rental_tick(node, amb_now());
     return open_call("POST", "/commit");
 }
--- a/tests/test_rentals.c
+++ b/tests/test_rentals.c
@@ -12,14 +12,14 @@
     (void)state;
     amb_rental_want(node, 0, 0, false, 1);
     amb_rental_want(node, 0, 0, false, 1);
-    struct amb_charter *first = node->rental.charters, *second = first->next;
+    struct amb_rental_request *first = node->rental.requests, *second = first->next;
     if (!strcmp(first->id, second->id)) fail_msg("%s twice under one term", first->id);
     char id[sizeof first->id];
     strcpy(id, first->id);
     begin_anew();
     node->election.term = TERM + 1;
     amb_rental_want(node, 0, 0, false, 1);
-    if (!strcmp(node->rental.charters->id, id)) fail_msg("%s under two terms", id);
+    if (!strcmp(node->rental.requests->id, id)) fail_msg("%s under two terms", id);
 }
 
 static void rentals_are_recorded_until_they_must_be_listed(void **state) {
@@ -70,9 +70,9 @@
 
 /* ---- the plan ---- */
 
-static uint32_t charters(int *type) {
+static uint32_t requests(int *type) {
     uint32_t n = 0;
-    for (const struct amb_charter *c = node->rental.charters; c; c = c->next, n++) *type = c->type;
+    for (const struct amb_rental_request *c = node->rental.requests; c; c = c->next, n++) *type = c->type;
     return n;
 }
 
@@ -98,9 +98,9 @@
         r->calls = (struct amb_budget){.tokens = rows[i].tokens};
         for (int k = 0; k < rows[i].recording + rows[i].asking + rows[i].asked; k++) {
             amb_rental_want(node, 0, 0, false, 1);
-            struct amb_charter *c = r->charters;
+            struct amb_rental_request *c = r->requests;
             while (c->next) c = c->next;
-            c->state = k < rows[i].recording ? AMB_CHARTER_RECORDING : AMB_CHARTER_ASKING;
+            c->state = k < rows[i].recording ? AMB_REQUEST_RECORDING : AMB_REQUEST_ASKING;
             c->busy = k >= rows[i].recording + rows[i].asking;
         }
         uint32_t calls = amb_rental_calls(node, amb_now());
@@ -123,21 +123,21 @@
     int type = -1;
     r->calls = (struct amb_budget){.tokens = 1};
     plan_now();
-    assert_int_equal(charters(&type), 1);
+    assert_int_equal(requests(&type), 1);
     assert_int_equal(type, 1);
-    r->charters->busy = true;
-    r->charters->state = AMB_CHARTER_ASKING;
+    r->requests->busy = true;
+    r->requests->state = AMB_REQUEST_ASKING;
     plan_now();
-    assert_int_equal(charters(&type), 2);
+    assert_int_equal(requests(&type), 2);
     assert_int_equal(type, 0);
-    assert_int_equal(r->charters->next->count, 2); /* nine tasks, eight to a machine */
+    assert_int_equal(r->requests->next->count, 2); /* nine tasks, eight to a machine */
     /* Gangs of any size are planned: those of more than 256 tasks once never got a machine. */
     amb_rental_clear(node);
     surge->state = draft->state = AMB_JOB_CANCELLED;
     add_job("wk-3", AMB_GANG, 300);
     plan_now();
-    assert_int_equal(charters(&type), 1);
-    assert_int_equal(r->charters->count, 19); /* half of 38: the other type costs the same */
+    assert_int_equal(requests(&type), 1);
+    assert_int_equal(r->requests->count, 19); /* half of 38: the other type costs the same */
 }
 
 /* What classes ask for is known whether this node led or not when it came, and in whatever order it heard. */
@@ -221,7 +221,7 @@
         amb_plan(r);
         amb_round_free(r);
         uint32_t wants = 0;
-        for (struct amb_charter *c = node->rental.charters; c; c = c->next) wants += c->count;
+        for (struct amb_rental_request *c = node->rental.requests; c; c = c->next) wants += c->count;
         if (wants != rows[i].wants) fail_msg("%s: %u", rows[i].what, wants);
     }
 }
--- a/tests/test_reports.c
+++ b/tests/test_reports.c
@@ -230,7 +230,7 @@
 /* What the answer says that goes when its time is over. */
 static void held_answers_are_decided_when_they_go(void **state) {
     (void)state;
-    enum meanwhile { NOTHING, CANCELLED, SENT_BEFORE, FOREIGN, MUTE, HUNG_UP };
+    enum meanwhile { NOTHING, CANCELLED, SENT_BEFORE, FOREIGN, FENCED, HUNG_UP };
     static const struct {
         const char *what;
         enum amb_task_state state;
@@ -244,7 +244,7 @@
         {"cancelled meanwhile", AMB_TASK_BOUND, CANCELLED, 200, 0, false},
         {"ordered before", AMB_TASK_BOUND, SENT_BEFORE, 200, 0, true},
         {"placed by an earlier leader", AMB_TASK_BOUND, FOREIGN, 200, 0, false},
-        {"the node leads no longer", AMB_TASK_BOUND, MUTE, 503, 0, false},
+        {"the node leads no longer", AMB_TASK_BOUND, FENCED, 503, 0, false},
         {"the machine has hung up", AMB_TASK_BOUND, HUNG_UP, 0, 0, false},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
@@ -256,7 +256,7 @@
         t->sent = rows[i].meanwhile == SENT_BEFORE;
         t->foreign = rows[i].meanwhile == FOREIGN;
         if (rows[i].meanwhile == CANCELLED) amb_job_cancel_hint(node, "wk-1", amb_wall_ms(), 61);
-        if (rows[i].meanwhile == MUTE) node->election.role = AMB_ROLE_FENCED;
+        if (rows[i].meanwhile == FENCED) node->election.role = AMB_ROLE_FENCED;
         if (rows[i].meanwhile == HUNG_UP) req->conn = NULL;
         fake_clock_advance(400);
         if (latest()->status != rows[i].status) fail_msg("%s: answered %d", rows[i].what, latest()->status);
