--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -7,6 +7,7 @@
 #include "amberpin/election.h"
 #include "amberpin/events.h"
 #include "amberpin/fleet.h"
+#include "amberpin/formats.h"
 #include "amberpin/held_answers.h"
 #include "amberpin/http.h"
 #include "amberpin/jobs.h"
@@ -56,6 +57,7 @@
     uint64_t quiet_term;           /* the last term of ours that it has heeded, and since when */
     amb_ms quiet_at;
     uint64_t term;
+    enum amb_format format; /* its last word */
     bool leading, store_ok, reports_arrive, busy;
     amb_ms sent_at;
     struct amb_peer_message heartbeat, answer; /* its last of each */
@@ -141,6 +143,7 @@
     struct amb_fleet fleet;
     struct amb_rental rental;
     struct amb_peers peers;
+    struct amb_formats formats;
     struct amb_controller ctl;
     struct amb_server *front, *side;
     amb_event_handler on_event;
