--- a/tests/test_production_form.c
+++ b/tests/test_production_form.c
@@ -226,7 +226,7 @@
         const json_t *said = json_object_get(sample, "value");
         cbor_item_t *value = value_of(sample);
         amb_rental_load(node, key_of(sample), value);
-        const struct amb_charter *request = node->rental.charters;
+        const struct amb_rental_request *request = node->rental.requests;
         while (request && request->next) request = request->next;
         if (!request) {
             fail_msg("%s: not taken up", key_of(sample));
