Jobs whose record could not be kept are refused

Cause: the list of awaited jobs has a bound, the rest of a description has not; with 16 long machine types and 60 names a record grows beyond 2 KiB. The state service answers 400 to it, and the user was told 503, to come back for ever; one that just fits could not be cancelled, which adds a field. Found by reading. Change: the record as it is once cancelled is measured in JSON form against the lowered value_kb; beyond it 422.

--- a/lib/admission.c
+++ b/lib/admission.c
@@ -1,6 +1,7 @@
 /* Can a submitted job ever run here? */
 #include "amberpin/admission.h"
 
+#include "amberpin/cbor_reader.h"
 #include "amberpin/node.h"
 #include "amberpin/wdrr.h"
 
@@ -45,6 +46,17 @@
     return (double)bytes <= amb_settings_lowered_limits(set).value_kb * 1024 / 2;
 }
 
+enum amb_admission amb_record_admission(const struct amb_node *node, const struct amb_job *job) {
+    struct amb_job cancelled = *job; /* the longest that its record gets */
+    struct amb_buf value = {0};
+    cancelled.accepted_wall = cancelled.cancelled_wall = amb_wall_ms();
+    amb_job_value(&value, &cancelled, AMB_JOB_CANCELLED);
+    double bytes = (double)amb_cbor_json_size(value.data, value.len);
+    amb_buf_free(&value);
+    double most = amb_settings_lowered_limits(&node->set).value_kb * 1024;
+    return bytes <= most ? AMB_CAN_RUN : AMB_NEVER_RUNS;
+}
+
 enum amb_admission amb_awaits_admission(struct amb_node *node, const struct amb_awaits *awaits) {
     if (!awaits) return AMB_CAN_RUN;
     if (!fits_record(&node->set, awaits)) return AMB_NEVER_RUNS;
--- a/lib/user_api.c
+++ b/lib/user_api.c
@@ -186,6 +186,7 @@
     if (!draft->spec) return AMB_MALFORMED;
     enum amb_admission admission = amb_job_admission(request->node, draft->spec);
     if (admission == AMB_NEVER_RUNS) return admission;
+    if (amb_record_admission(request->node, draft) == AMB_NEVER_RUNS) return AMB_NEVER_RUNS;
     enum amb_admission awaits = amb_awaits_admission(request->node, draft->awaits);
     return awaits == AMB_CAN_RUN ? admission : awaits;
 }
--- a/tests/test_pipelines.c
+++ b/tests/test_pipelines.c
@@ -650,6 +650,15 @@
     }
 }
 
+/* News of a job that is done. */
+static void know_done(const char *name, uint64_t stamp) {
+    struct amb_buf value = cbor_from_text("{\"s\":\"done\",\"n\":1}");
+    cbor_item_t *item = amb_cbor_parse(value.data, value.len);
+    amb_jobs_apply(node, name, item, stamp);
+    cbor_decref(&item);
+    amb_buf_free(&value);
+}
+
 /* A list that a record can't hold with the rest is refused, whatever it names; in every record that is
  * written the value stays below the limit. */
 static void long_lists(void **state) {
@@ -669,11 +678,7 @@
         for (uint32_t k = 0; k < rows[i].names; k++) {
             char name[AMB_NAME];
             snprintf(name, sizeof name, "wk-%06u", k);
-            struct amb_buf value = cbor_from_text("{\"s\":\"done\",\"n\":1}");
-            cbor_item_t *item = amb_cbor_parse(value.data, value.len);
-            amb_jobs_apply(node, name, item, 10 + k);
-            cbor_decref(&item);
-            amb_buf_free(&value);
+            know_done(name, 10 + k);
             json_array_append_new(list, json_string(name));
         }
         json_object_set_new(job, "awaits", list);
@@ -689,6 +694,45 @@
     }
 }
 
+/* Each part may be within its own bound while the whole is not: such a job could neither be written nor
+ * cancelled, and its user would be told to come back for ever. */
+static void large_descriptions(void **state) {
+    (void)state;
+    static const struct {
+        double value_kb, next_kb;
+        uint32_t types, names; /* of 63 and 9 letters */
+        int status;
+    } rows[] = {{2, 0, 16, 0, 201},   {2, 0, 0, 60, 201},   {2, 0, 16, 60, 422}, {2, 0, 16, 16, 201},
+                {16, 0, 16, 60, 201}, {16, 2, 16, 60, 422}, {16, 2, 16, 16, 201}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        anew();
+        node->set.value_kb = rows[i].value_kb;
+        node->set.state_next.value_kb = rows[i].next_kb;
+        json_t *job = json_loads(describe('b', NULL, "batch"), 0, NULL);
+        json_t *types = json_array(), *names = json_array();
+        json_array_append_new(types, json_string(node->catalog.types[0].name));
+        for (uint32_t k = 1; k < rows[i].types; k++)
+            json_array_append_new(types, json_sprintf("%058u-%04u", 0, k));
+        for (uint32_t k = 0; k < rows[i].names; k++) {
+            char name[AMB_NAME];
+            snprintf(name, sizeof name, "wk-%06u", k);
+            know_done(name, 10 + k);
+            json_array_append_new(names, json_string(name));
+        }
+        if (rows[i].types) json_object_set(job, "hulls", types);
+        if (rows[i].names) json_object_set(job, "awaits", names);
+        json_decref(types);
+        json_decref(names);
+        struct amb_buf body = {0};
+        cbor_from_json(&body, job);
+        json_decref(job);
+        request("POST", "/v1/jobs", &body);
+        if (replies[nreplies - 1].status != rows[i].status)
+            fail_msg("%u types and %u names in %g KiB: %s", rows[i].types, rows[i].names, rows[i].value_kb,
+                     answer());
+    }
+}
+
 /* Nodes of the version before would start a job at once if they led: none that awaits others is accepted
  * while one is known to serve. */
 static void not_beside_an_old_node(void **state) {
@@ -978,6 +1022,7 @@
         TEST(placed_by_a_leader_that_does_not_wait),
         TEST(awaits_as_users_write_them),
         TEST(long_lists),
+        TEST(large_descriptions),
         TEST(not_beside_an_old_node),
         TEST(services_are_not_awaited),
         TEST(records_keep_the_names),
