--- a/include/amberpin/events.h
+++ b/include/amberpin/events.h
@@ -8,11 +8,15 @@
 struct amb_job;
 struct amb_machine;
 struct amb_node;
+struct amb_task;
 
 enum amb_event_type {
     AMB_EVENT_LEAD_WON,
     AMB_EVENT_LEAD_LOST,     /* cause: why */
     AMB_EVENT_JOB_KNOWN,     /* job: first heard of, and awaits no other */
+    AMB_EVENT_JOB_AWAITS,    /* job: it is accepted, and awaits others */
+    AMB_EVENT_JOB_OVER,      /* job: it is done, or cancelled by its own record */
+    AMB_EVENT_TASK_RECORDED, /* task: its placement is on record, it may be told to start */
     AMB_EVENT_MACHINE_KNOWN, /* machine: added to the leader's table */
     AMB_EVENT_MACHINE_GONE,  /* machine: it and all on it are no more, by this proof; it is freed */
     AMB_EVENT_ROUND_WANTED,  /* something changed that the leader's round should look at */
@@ -22,6 +26,7 @@
     enum amb_event_type type;
     enum amb_absence proof;
     struct amb_job *job;
+    struct amb_task *task;
     struct amb_machine *machine;
     const char *cause;
 };
--- a/include/amberpin/held_answers.h
+++ b/include/amberpin/held_answers.h
@@ -15,6 +15,6 @@
 /* What waits, if anything does, goes now: it says nothing, or that somebody else leads. */
 void amb_answer_drop(struct amb_node *node, struct amb_machine *machine);
 /* The task's record is durable, it may start now: its machine's answer need not wait any longer. */
-void amb_fleet_tell(struct amb_task *task);
+void amb_answer_start(struct amb_task *task);
 
 #endif
--- a/include/amberpin/jobs.h
+++ b/include/amberpin/jobs.h
@@ -36,15 +36,11 @@
 void amb_job_key(char *out, size_t cap, const char *ref);
 /* The job's value in the state service, if it were in this state. */
 void amb_job_value(struct amb_buf *b, const struct amb_job *job, enum amb_job_state state);
-/* Frees the description of a job that needs none any more. */
-void amb_job_drop_spec(struct amb_node *node, struct amb_job *job);
 /* News of a job: its value and the stamp of its change. */
 void amb_jobs_apply(struct amb_node *node, const char *ref, const cbor_item_t *value, uint64_t stamp);
 /* This node has written the job in this state: as if news had come of it. */
 void amb_job_written(struct amb_node *node, const struct amb_job *job, enum amb_job_state state,
                      uint64_t stamp);
-/* Frees the description of a draft, which is not in the table. */
-void amb_job_free_spec(struct amb_job *job);
 /* Nothing keeps the job from starting any more: the leader takes it into its care. */
 void amb_job_can_start(struct amb_node *node, struct amb_job *job);
 /* The job awaits another that is cancelled, directly or through others, and so is cancelled without a record
--- a/include/amberpin/memory.h
+++ b/include/amberpin/memory.h
@@ -20,4 +20,9 @@
 /* Whether there is room for one job more, as its user describes it. */
 bool amb_memory_holds(const struct amb_node *node, const struct amb_spec *spec);
 
+/* Frees the description of a draft, which is not in the table. */
+void amb_job_free_spec(struct amb_job *job);
+/* Frees the description of a job that needs none any more. */
+void amb_job_drop_spec(struct amb_node *node, struct amb_job *job);
+
 #endif
--- a/lib/cancellations.c
+++ b/lib/cancellations.c
@@ -1,6 +1,7 @@
 /* Cancelled jobs in order. Entries come nearly in order, so they are put in from the end. */
 #include "amberpin/cancellations.h"
 
+#include "amberpin/memory.h"
 #include "amberpin/node.h"
 
 #include <stdlib.h>
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -148,6 +148,9 @@
     case AMB_EVENT_LEAD_WON: amb_controller_lead(n); break;
     case AMB_EVENT_LEAD_LOST: amb_controller_stop(n, event->cause); break;
     case AMB_EVENT_JOB_KNOWN: amb_plan_demand(n, event->job); break;
+    case AMB_EVENT_JOB_AWAITS: amb_pipeline_accepted(n, event->job); break;
+    case AMB_EVENT_JOB_OVER: amb_pipeline_over(n, event->job); break;
+    case AMB_EVENT_TASK_RECORDED: amb_answer_start(event->task); break;
     case AMB_EVENT_MACHINE_KNOWN: amb_peer_recall_images(n, event->machine); break;
     case AMB_EVENT_MACHINE_GONE: amb_machine_gone(n, event->machine, event->proof); break;
     case AMB_EVENT_ROUND_WANTED: want_round(n); break;
--- a/lib/held_answers.c
+++ b/lib/held_answers.c
@@ -70,7 +70,7 @@
                  answer_held, held);
 }
 
-void amb_fleet_tell(struct amb_task *task) {
+void amb_answer_start(struct amb_task *task) {
     struct amb_job *job = task->job;
     bool gang = job->spec->kind == AMB_GANG;
     if (gang && !amb_gang_recorded(job)) return;
--- a/lib/jobs.c
+++ b/lib/jobs.c
@@ -1,5 +1,6 @@
 /* The table of all jobs: what the state service says of each, and the changes of a job's state. */
 #include "amberpin/log.h"
+#include "amberpin/memory.h"
 #include "amberpin/node.h"
 
 #include <stdio.h>
@@ -52,18 +53,6 @@
     if (job->spec->kind == AMB_GANG) amb_gang_state(job, AMB_GANG_TEARING, cause);
 }
 
-void amb_job_free_spec(struct amb_job *job) {
-    free(job->spec);
-    free(job->awaits);
-    job->spec = NULL;
-    job->awaits = NULL;
-}
-
-void amb_job_drop_spec(struct amb_node *node, struct amb_job *job) {
-    if (job->spec) node->jobs.described--;
-    amb_job_free_spec(job);
-}
-
 /* True if this is news. Jobs that await it are not told. */
 static bool change_state(struct amb_node *node, struct amb_job *job, enum amb_job_state to) {
     if (to == AMB_JOB_CANCELLED) amb_cancellation_note(node, job);
@@ -80,7 +69,8 @@
 }
 
 static void job_state(struct amb_node *node, struct amb_job *job, enum amb_job_state to) {
-    if (change_state(node, job, to) && to != AMB_JOB_QUEUED) amb_pipeline_over(node, job);
+    if (change_state(node, job, to) && to != AMB_JOB_QUEUED)
+        amb_event_post(node, &(struct amb_event){.type = AMB_EVENT_JOB_OVER, .job = job});
 }
 
 void amb_job_cancelled_with(struct amb_node *node, struct amb_job *job, const struct amb_job *cause) {
@@ -137,7 +127,8 @@
     /* A user's submission or cancellation, at whichever node. */
     if (node->jobs.loaded && (fresh || to == AMB_JOB_CANCELLED)) amb_store_user_wrote(&node->store);
     job_state(node, job, to);
-    if (to == AMB_JOB_QUEUED && job->awaits) amb_pipeline_accepted(node, job);
+    if (to == AMB_JOB_QUEUED && job->awaits)
+        amb_event_post(node, &(struct amb_event){.type = AMB_EVENT_JOB_AWAITS, .job = job});
     if (fresh) amb_job_can_start(node, job);
 }
 
--- a/lib/memory.c
+++ b/lib/memory.c
@@ -3,6 +3,8 @@
 
 #include "amberpin/node.h"
 
+#include <stdlib.h>
+
 /* Shares of the quota. The rest is for the program itself, machines, connections and messages. */
 static const double TASK_SHARE = 1.0 / 3;
 static const double ONE_JOB_SHARE = 0.4; /* the largest job, when the leader cares for no other */
@@ -40,3 +42,17 @@
     size_t table = amb_memory_job_table_used(node) + JOB_BYTES + DESCRIPTION_BYTES;
     return table <= amb_memory_job_table(settings) && spec->tasks <= amb_memory_tasks_of_one_job(settings);
 }
+
+/* ---- descriptions ---- */
+
+void amb_job_free_spec(struct amb_job *job) {
+    free(job->spec);
+    free(job->awaits);
+    job->spec = NULL;
+    job->awaits = NULL;
+}
+
+void amb_job_drop_spec(struct amb_node *node, struct amb_job *job) {
+    if (job->spec) node->jobs.described--;
+    amb_job_free_spec(job);
+}
--- a/lib/record.c
+++ b/lib/record.c
@@ -218,7 +218,7 @@
         struct amb_task *t = &k->job->tasks[i];
         if (t->in_flight && t->state == AMB_TASK_PLACED) {
             amb_task_state(n, t, AMB_TASK_BOUND, "recorded");
-            amb_fleet_tell(t);
+            amb_event_post(n, &(struct amb_event){.type = AMB_EVENT_TASK_RECORDED, .task = t});
         }
         t->in_flight = false;
         if (t->done_sent) t->done_saved = true;
--- a/tests/node_fixture.c
+++ b/tests/node_fixture.c
@@ -1,6 +1,8 @@
 #include "node_fixture.h"
 #include "check.h"
 
+#include "amberpin/memory.h"
+
 struct amb_node *node;
 struct amb_order orders[FIXTURE_ORDERS];
 size_t norders;
