--- a/include/amberpin/store.h
+++ b/include/amberpin/store.h
@@ -61,8 +61,6 @@
 void amb_store_limits_lowered(struct amb_store *s, const char *sign);
 /* For a user: are there tokens, and keep: a share of the bucket left for more urgent jobs? */
 bool amb_store_can_write(struct amb_store *s, uint32_t n, double keep);
-/* How long until there are such tokens, in ms, if nobody else takes them; 0: there are. */
-amb_ms amb_store_write_wait(struct amb_store *s, uint32_t n, double keep);
 /* The leader's: write tokens that one half does not need go to the other, at all nodes alike. How many went
  * to the users' half; negative: from it. */
 double amb_store_lend(struct amb_store *s);
--- a/lib/store.c
+++ b/lib/store.c
@@ -272,17 +272,10 @@
     amb_store_share(s, s->leading);
 }
 
-amb_ms amb_store_write_wait(struct amb_store *s, uint32_t n, double keep) {
-    refill(s);
-    amb_ms request = amb_budget_wait(&s->requests, 1);
-    amb_ms write = user_wait(s, n, keep);
-    amb_ms wait = request > write ? request : write;
-    amb_ms held = s->held_until - amb_now();
-    return held > wait ? held : wait;
-}
-
 bool amb_store_can_write(struct amb_store *s, uint32_t n, double keep) {
-    return !s->queue[AMB_URGENT_USER] && !amb_store_write_wait(s, n, keep);
+    refill(s);
+    return amb_now() >= s->held_until && !s->queue[AMB_URGENT_USER] && !amb_budget_wait(&s->requests, 1) &&
+           !user_wait(s, n, keep);
 }
 
 void amb_store_get(struct amb_store *s, const char *key, enum amb_urgency u, amb_store_done fn, void *arg) {
--- a/lib/user_api.c
+++ b/lib/user_api.c
@@ -14,21 +14,14 @@
 
 enum { RETRY_AFTER_S = 1, CANCEL_RETRIES = 3 };
 
-/* How long a submission may wait for write tokens, as a share of the time after which a refused user comes
- * back: any longer, and coming back is as quick. */
-static const double TOKEN_WAIT_SHARE = 0.75;
-enum { TOKEN_RECHECK_MS = 10 }; /* tokens are looked for again no sooner */
-
 struct user_request { /* under way */
     struct amb_node *node;
     struct amb_http_req *req;
     enum { SUBMIT, QUERY, CANCEL } kind;
     char ref[AMB_NAME];
-    int tries;                /* cancel: transactions sent */
-    struct amb_job *draft;    /* submit: as it is to be accepted; its description is missing if malformed */
-    bool sent;                /* submit: the draft was */
-    amb_ms come_at;           /* submit */
-    struct amb_timer recheck; /* submit: when tokens may be there */
+    int tries;             /* cancel: transactions sent */
+    struct amb_job *draft; /* submit: as it is to be accepted; its description is missing if malformed */
+    bool sent;             /* submit: the draft was */
 };
 
 static void request_free(struct user_request *request) {
@@ -197,28 +190,6 @@
     return awaits == AMB_CAN_RUN ? admission : awaits;
 }
 
-/* Time has passed: what was decided before the wait is decided again, with news since. */
-static void tokens_due(void *arg) {
-    struct user_request *request = arg;
-    if (amb_job_find(request->node, request->ref))
-        wait_for_fresh_read(request);
-    else
-        decide_submission(request, false);
-}
-
-/* Refuses the submission, unless tokens for it come sooner than its user would. */
-static void wait_for_tokens(struct user_request *request) {
-    double keep = kept_for_others(request->draft->spec);
-    amb_ms now = amb_now();
-    amb_ms wait = amb_store_write_wait(&request->node->store, 1, keep);
-    if (wait < TOKEN_RECHECK_MS) wait = TOKEN_RECHECK_MS;
-    amb_ms give_up_at = request->come_at + (amb_ms)(TOKEN_WAIT_SHARE * RETRY_AFTER_S * 1000);
-    if (now + wait > give_up_at)
-        reply_status(request, 503);
-    else
-        amb_timer_in(&request->recheck, wait, tokens_due, request);
-}
-
 /* The job is not known here; `read`: nor was it anywhere when the request came. Once accepted, a job is never
  * refused: so a refusal, of a malformed repetition too, needs a fresh read first. So does one for a name that
  * is awaited: another node may just have accepted it. */
@@ -230,17 +201,15 @@
             reply_status(request, admission == AMB_MALFORMED ? 400 : 422);
         else
             wait_for_fresh_read(request);
-    } else if (admission == AMB_UNDECIDED || !amb_memory_holds(node, request->draft->spec)) {
+    } else if (admission == AMB_UNDECIDED || !amb_memory_holds(node, request->draft->spec) ||
+               !amb_store_can_write(&node->store, 1, kept_for_others(request->draft->spec))) {
         reply_status(request, 503);
-    } else if (!amb_store_can_write(&node->store, 1, kept_for_others(request->draft->spec))) {
-        wait_for_tokens(request);
     } else {
         send_submission(request);
     }
 }
 
 static void submit(struct user_request *request) {
-    request->come_at = amb_now();
     read_submission(request);
     struct amb_job *known = amb_job_find(request->node, request->ref);
     if (!amb_ref_ok(request->ref)) /* no job of that name can have been accepted */
