--- a/tests/standin/explore.c
+++ b/tests/standin/explore.c
@@ -28,7 +28,7 @@
     LOADS = 6,
     /* The work may need longer than the day: one-task jobs come faster than tight team limits let them run.
      * Of 2,000 drawn days the longest took 222 s more. */
-    OVERTIME_MS = 600000,
+    OVERTIME_MS = 300000,
 };
 
 static const char *const kinds[] = {
--- a/tests/standin/state_service.c
+++ b/tests/standin/state_service.c
@@ -317,10 +317,11 @@
     const cbor_item_t *operations = amb_cbor_get(body, "then");
     struct amb_buf names = {0};
     size_t failed = failed_guards(amb_cbor_get(body, "guards"), &names);
-    if (too_many(operations)) {
-        sim_call_answer(call, 429, NULL);
-    } else if (too_large(operations) || names_ended_lease(operations)) {
+    /* Sizes are judged first, so that none goes unseen while the rate is exceeded. */
+    if (too_large(operations) || names_ended_lease(operations)) {
         sim_call_answer(call, 400, NULL);
+    } else if (too_many(operations)) {
+        sim_call_answer(call, 429, NULL);
     } else if (failed) {
         conflict_answer(call, failed, &names);
     } else {
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -38,7 +38,7 @@
        SIM_TEAMS = 2,
 };
 
-static const double sim_next_writes_share = 0.75; /* of the rate of changes, once limits are lowered */
+static const double sim_next_writes_share = 0.72; /* of the rate of changes, once limits are lowered */
 
 struct sim_timer {
     struct amb_timer *timer;
--- a/tests/test_standin_pipelines.c
+++ b/tests/test_standin_pipelines.c
@@ -58,7 +58,7 @@
         done += r.dependants_done;
         cancelled += r.dependants_cancelled;
     }
-    if (dependants < 20 * SEEDS || done < 6 * SEEDS || cancelled < 4 * SEEDS)
+    if (dependants < 20 * seeds || done < 6 * SEEDS || cancelled < 4 * seeds)
         fail_msg("%s: of jobs that await others %u accepted, %u done, %u cancelled", day->what, dependants,
                  done, cancelled);
 }
--- a/tests/test_upgrade.c
+++ b/tests/test_upgrade.c
@@ -18,6 +18,12 @@
     amb_ms length; /* 0: LENGTH */
 };
 
+static bool plans_upgrade(const struct day *day) {
+    for (size_t i = 0; i < day->count; i++)
+        if (day->faults[i].kind == SIM_UPGRADE) return true;
+    return false;
+}
+
 static void must_hold(const struct day *day, uint64_t seed) {
     if (!sim_production_at_hand()) fail_msg("the production version is not in the repository's history");
     struct sim_result r = sim_play(&(struct sim_plan){
@@ -40,6 +46,8 @@
         (r.dependants < 15 || r.dependants_done < 4 || r.dependants_cancelled < 2))
         fail_msg("%s, seed %llu: of jobs that await others %u accepted, %u done, %u cancelled", day->what,
                  (unsigned long long)seed, r.dependants, r.dependants_done, r.dependants_cancelled);
+    if (plans_upgrade(day) && !r.upgraded_at)
+        fail_msg("%s, seed %llu: not all nodes were upgraded", day->what, (unsigned long long)seed);
     if (r.accepted < 16 || r.done < 8 || r.open)
         fail_msg("%s, seed %llu: %u accepted, %u done, %u left open", day->what, (unsigned long long)seed,
                  r.accepted, r.done, r.open);
