One way to give up a write, one to take out of a list of cancellations

A write that is known to be undone repeated, task by task, what giving one up for smaller blocks does; the first entry of a list was removed by a copy of what removes any.

--- a/lib/cancellations.c
+++ b/lib/cancellations.c
@@ -37,17 +37,16 @@
     list->count++;
 }
 
-static void remove_first(struct amb_cancellation_list *list) {
+static void remove_at(struct amb_cancellation_list *list, size_t at) {
     list->count--;
-    memmove(list->entries, &list->entries[1], list->count * sizeof *list->entries);
+    memmove(&list->entries[at], &list->entries[at + 1], (list->count - at) * sizeof *list->entries);
 }
 
 /* From the end: what changes was heard of a moment ago. */
 static void remove_job(struct amb_cancellation_list *list, const struct amb_job *job) {
     for (size_t i = list->count; i-- > 0;) {
         if (list->entries[i].job != job) continue;
-        list->count--;
-        memmove(&list->entries[i], &list->entries[i + 1], (list->count - i) * sizeof *list->entries);
+        remove_at(list, i);
         return;
     }
 }
@@ -77,7 +76,7 @@
     amb_ms heard_by = now - amb_secs(TASKS_GONE_AFTER * node->set.cancel_s);
     while (described->count && described->entries[0].key <= heard_by) {
         struct amb_job *job = described->entries[0].job;
-        remove_first(described);
+        remove_at(described, 0);
         if (job->live)
             insert(described, now, job);
         else
--- a/lib/record.c
+++ b/lib/record.c
@@ -227,15 +227,11 @@
 
 /* It is now known that what was sent does not stand there and never will. */
 static void undone(struct amb_node *n, struct amb_block *k) {
-    k->in_flight = false;
+    give_up_write(k); /* it may have been written before the job changed */
     k->retry_at = 0;
     k->dirty = true;
-    k->stamp_unsure = true; /* it may have been written before the job changed */
-    amb_buf_free(&k->value);
     for (uint32_t i = k->tasks.first; i < k->tasks.end; i++) {
         struct amb_task *t = &k->job->tasks[i];
-        t->in_flight = false;
-        if (!t->done_saved) t->done_sent = false;
         if (t->machine && t->state == AMB_TASK_PLACED && k->job->state != AMB_JOB_QUEUED)
             amb_task_unbind(n, t, "its job is over, and no order went out");
     }
