--- a/include/amberpin/fleet.h
+++ b/include/amberpin/fleet.h
@@ -11,7 +11,8 @@
 
 struct amb_fleet {
     struct amb_machine *all;              /* by name (machines.h) */
-    struct amb_removed_machine *removed;  /* names that are never used again (machines.c) */
+    struct amb_removed_machine *removed;  /* names that are never used again, the latest (machines.c) */
+    bool forgetting;                      /* there were more than are kept */
     uint64_t reports_read;                /* tells the tasks that a report lists from the rest (reports.c) */
     enum amb_zone_reach reach[AMB_ZONES]; /* (zones.h) */
     amb_ms out_of_reach_at[AMB_ZONES];    /* when the zone was last not reached; 0: never */
--- a/include/amberpin/http.h
+++ b/include/amberpin/http.h
@@ -6,6 +6,9 @@
 
 enum { AMB_HTTP_HEAD_MAX = 8192 };
 
+/* In place of a status: the answer is longer than amb_http_response_limit allows, and was not read. */
+enum { AMB_HTTP_ANSWER_TOO_LONG = 1000 };
+
 struct amb_http_msg {
     bool response;
     int status;        /* responses */
@@ -52,5 +55,6 @@
 struct amb_call *amb_http_call(const char *addr, const char *method, const char *path, const char *type,
                                const void *body, size_t len, amb_ms timeout, amb_http_done fn, void *arg);
 void amb_http_client_limit(int max_connections);
+void amb_http_response_limit(size_t bytes); /* of an answer, with its head */
 
 #endif
--- a/include/amberpin/machines.h
+++ b/include/amberpin/machines.h
@@ -14,6 +14,8 @@
 void amb_machine_remove(struct amb_node *node, struct amb_machine *machine);
 /* Was the machine proved to be gone while this node led? That stays true, also once it leads no more. */
 bool amb_machine_was_removed(const struct amb_node *node, const char *name);
+/* Bytes that are kept of each machine that was removed. */
+size_t amb_removed_machine_bytes(void);
 /* All out of the table: their names may come again. */
 void amb_machines_clear(struct amb_node *node);
 /* The names of those that were removed are forgotten. */
@@ -22,6 +24,10 @@
 void amb_machine_state(struct amb_machine *machine, enum amb_machine_state to, const char *cause);
 /* The zone, when it was not known yet; the tasks that are on record there count in it from now on. */
 void amb_machine_learn_zone(struct amb_machine *machine, int zone);
+/* Its type and zone by name, as far as they were not known yet. One that lies beyond what is kept of types or
+ * zones is never used, which is said once. */
+void amb_machine_learn_place(struct amb_node *node, struct amb_machine *machine, const char *type,
+                             const char *zone);
 /* It is given no new task for so long. */
 void amb_machine_rest(struct amb_machine *machine, double seconds, const char *cause);
 /* It may be given work now. */
--- a/include/amberpin/memory.h
+++ b/include/amberpin/memory.h
@@ -17,6 +17,17 @@
 size_t amb_memory_job_table(const struct amb_settings *settings);
 size_t amb_memory_job_table_used(const struct amb_node *node);
 
+/* Bytes of an answer that a node reads at most: whole pages of the state service, or an eighth of the quota.
+ */
+size_t amb_memory_answer(const struct amb_settings *settings);
+/* Bytes of a peer's message that is kept to be recognised when it comes again. */
+size_t amb_memory_peer_message(const struct amb_settings *settings);
+/* Names of machines that are gone which are kept at most, the latest. */
+size_t amb_memory_removed_machines(const struct amb_settings *settings);
+/* Machines for which there is room: each with its place in the leader's table, its connection, and what other
+ * nodes have said of it. */
+size_t amb_memory_machines(const struct amb_settings *settings);
+
 /* Whether there is room for one job more, as its user describes it. */
 bool amb_memory_holds(const struct amb_node *node, const struct amb_spec *spec);
 
--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -182,6 +182,7 @@
     bool cancel_noticed;      /* the leader was told of its cancellation, as this node told a user of it */
     uint32_t shown_done, shown_running; /* as the leader last said */
     bool shown_changed;
+    uint64_t shown_in; /* the leader's heartbeat that last told it (peer_say.c) */
     bool demand_noted; /* as one of its class that came */
     /* Its pipeline's (pipelines.h): */
     bool awaiting;                  /* a job that it awaits is not done: it must not start */
@@ -235,6 +236,7 @@
     int kept_for;        /* priority of expected work that it is kept for; -1: none */
     bool claimed;        /* by a gang within its team's guarantee, which waits for room here */
     bool halts_due;      /* tasks to be told to stop, without waiting for its next report */
+    bool beyond_bounds;  /* of types or zones, and the log has said so */
     bool drain;          /* being emptied, to be returned */
     bool failed;         /* by the cloud's word: it stopped on its own */
     bool keeps_result;   /* its last report listed a completed task whose end is not on record yet */
@@ -243,7 +245,8 @@
     struct amb_res used;
     struct amb_task *tasks;
     struct amb_held *held;
-    bool images_changed; /* since the other nodes were told */
+    bool images_changed;     /* since the other nodes were told */
+    uint64_t images_told_in; /* the leader's heartbeat that last told of them (peer_images.h) */
     uint32_t nimages;
     char images[AMB_IMAGES][AMB_NAME]; /* most recently used first */
     double image_gb[AMB_IMAGES];
--- a/include/amberpin/options.h
+++ b/include/amberpin/options.h
@@ -15,6 +15,7 @@
     double preempt;        /* 0: never stop work for other work */
     double duties;         /* 1: single-holder duties rent and return machines, once all nodes say so */
     double duty_lease;     /* lease of a member of these, as leader_ttl is counted */
+    double fleet_machines; /* machines that the service is to have at most; 0: not stated */
     char duty_names[AMB_DUTY_LIST]; /* duties that this node may hold */
 };
 
--- a/include/amberpin/peer.h
+++ b/include/amberpin/peer.h
@@ -6,6 +6,7 @@
 #include "amberpin/formats.h"
 #include "amberpin/loop.h"
 #include "amberpin/model.h"
+#include "amberpin/peer_images.h"
 #include "amberpin/settings.h"
 
 struct amb_node;
@@ -45,20 +46,22 @@
 };
 
 struct amb_peers {
-    struct json_t *images; /* by machine, as the leader last said: what its cache is thought to hold */
+    struct amb_peer_images images; /* that machines hold, as the leader says */
     /* With the cancellations of late; and with none, for a leader that knows of all. */
     struct amb_peer_saying recent, nothing_newer;
-    uint32_t heartbeats;
     uint32_t count;
     struct amb_peer list[AMB_PEERS];
     struct amb_timer timer;
 };
 
-enum { AMB_HEARTBEAT_MAX = 1024 * 1024 }; /* bytes of a message between nodes */
+/* Bytes of a message between nodes. What a leader tells of jobs and machines grows with the fleet, so it is
+ * told in parts that leave room for the rest (peer_say.c). */
+enum { AMB_HEARTBEAT_MAX = 1024 * 1024 };
 
 void amb_peer_init(struct amb_node *node);
 void amb_peer_forget(struct amb_node *node); /* the messages that are kept */
 char *amb_peer_say(struct amb_node *node);   /* what a node tells the others twice a report; to be freed */
+void amb_peer_said(struct amb_node *node);   /* and every other node has been sent it */
 /* To a heartbeat, as a tree; request() answers with this as text, kept while it stays the same. */
 struct json_t *amb_peer_answer(struct amb_node *node, const struct json_t *question); /* to be released */
 /* What another node says of itself; sent_at: when we asked, 0 when it spoke first. */
@@ -69,8 +72,6 @@
                           amb_ms now); /* since when all peers last confirmed our lead */
 /* Since when no other node can have answered a machine under an older term than ours; 0: one still might. */
 amb_ms amb_peer_quiet(const struct amb_node *node);
-void amb_peer_recall_images(struct amb_node *node,
-                            struct amb_machine *machine); /* for a machine new to this node */
 bool amb_peer_store_ok(const struct amb_node *node, amb_ms now);
 
 #endif
--- a/include/amberpin/rental.h
+++ b/include/amberpin/rental.h
@@ -24,6 +24,8 @@
     struct amb_node *node;
 };
 
+enum { AMB_RELEASE_MAX = 100 }; /* names in a call (the protocol) */
+
 struct amb_refusal { /* capacity that was not there */
     amb_ms until;
     uint32_t times;
@@ -39,8 +41,12 @@
     uint64_t list_pass;
     bool listed; /* the cloud has listed its machines to the end since this node leads */
     char list_after[AMB_NAME];
+    bool list_page_due;     /* the listing under way goes on from there, once a call may be made */
+    uint32_t list_failures; /* in a row, of the page that is due */
+    amb_ms list_retry_at, page_asked_at;
+    uint32_t list_pages; /* of the listing under way, or of the last */
     struct amb_refusal refused[AMB_TYPES][AMB_ZONES][2];
-    char release_names[100][AMB_NAME];
+    char release_names[AMB_RELEASE_MAX][AMB_NAME];
     uint32_t nrelease;
 };
 
--- a/lib/change_feed.c
+++ b/lib/change_feed.c
@@ -90,12 +90,18 @@
     list_next(node);
 }
 
+/* More has changed than the state service keeps, or than this node may read at a time: all is listed anew,
+ * page by page. */
+static bool must_relist(int status) {
+    return status == 410 || status == AMB_HTTP_ANSWER_TOO_LONG;
+}
+
 static void followed(void *arg, int status, const void *page, size_t len) {
     struct amb_node *node = arg;
     node->jobs.following = false;
     if (status == 200 && apply_news(node, page, len, node->jobs.follow_sent_at)) {
         follow(node);
-    } else if (status == 410) {
+    } else if (must_relist(status)) {
         relist(node);
     } else {
         amb_timer_in(&node->jobs.follow_timer, node->store.call_timeout / 4, follow, node);
@@ -162,7 +168,7 @@
     struct amb_node *node = arg;
     struct amb_jobs *jobs = &node->jobs;
     bool ok = status == 200 && apply_news(node, page, len, jobs->sync_sent_at);
-    if (status == 410) relist(node);
+    if (must_relist(status)) relist(node);
     struct amb_sync *read = jobs->asked;
     jobs->asked = NULL;
     jobs->syncing = false;
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -1,5 +1,7 @@
 /* Wires the modules: the leader's round in time, take-over, and the front. */
+#include "amberpin/capacity.h"
 #include "amberpin/log.h"
+#include "amberpin/memory.h"
 #include "amberpin/node.h"
 #include "amberpin/plan.h"
 #include "amberpin/user_api.h"
@@ -161,7 +163,7 @@
     case AMB_EVENT_TASK_RECORDED: amb_answer_start(event->task); break;
     case AMB_EVENT_MACHINE_KNOWN:
         amb_duties_machine_known(n, event->machine);
-        amb_peer_recall_images(n, event->machine);
+        amb_peer_images_recall(n, event->machine);
         break;
     case AMB_EVENT_MACHINE_GONE: amb_machine_gone(n, event->machine, event->proof); break;
     case AMB_EVENT_ROUND_WANTED: want_round(n); break;
@@ -235,13 +237,10 @@
     amb_store_init(&n->store, &n->set, amb_election_patience(n));
     amb_rental_init(n);
     for (uint32_t i = 0; i < n->set.nzones; i++) amb_catalog_zone(&n->catalog, n->set.zones[i]);
-    /* A quarter of the sockets is ours, to reach others with; nearly all of the rest is for those who reach
-     * us: workers, all of which may come to one node, and users. (With half as many machines again as the
-     * fleet deployments have, a node had 1653 connections open of the 1746 that five eighths allowed.) */
-    int sockets = (int)n->set.fd_limit;
-    amb_http_client_limit(sockets / 4);
-    n->front = amb_server_open(n->set.front, sockets * 11 / 16, USER_BODY_MAX, amb_secs(n->set.lease_s * 6),
-                               request, n);
+    amb_http_client_limit(amb_capacity_outgoing(&n->set));
+    amb_http_response_limit(amb_memory_answer(&n->set));
+    n->front = amb_server_open(n->set.front, amb_capacity_incoming(&n->set), USER_BODY_MAX,
+                               amb_secs(n->set.lease_s * 6), request, n);
     if (!n->front) {
         snprintf(err, cap, "front %s can't be opened", n->set.front);
         return -1;
--- a/lib/http.c
+++ b/lib/http.c
@@ -14,7 +14,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { RESPONSE_MAX = 8 * 1024 * 1024, READ_CHUNK = 16 * 1024 };
+enum { READ_CHUNK = 16 * 1024 };
 
 /* ---- parser ---- */
 
@@ -374,7 +374,7 @@
     int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one); /* accepted sockets inherit it */
-    if (bind(fd, (struct sockaddr *)&address, sizeof address) < 0 || listen(fd, 256) < 0) {
+    if (bind(fd, (struct sockaddr *)&address, sizeof address) < 0 || listen(fd, max) < 0) {
         close(fd);
         return NULL;
     }
@@ -406,11 +406,16 @@
 
 static struct amb_call *spares;
 static int client_open, client_max = 128;
+static size_t response_max = (size_t)8 * 1024 * 1024;
 
 void amb_http_client_limit(int max_connections) {
     client_max = max_connections;
 }
 
+void amb_http_response_limit(size_t bytes) {
+    response_max = bytes;
+}
+
 static void spare_unlink(struct amb_call *call) {
     *(call->prev ? &call->prev->next : &spares) = call->next;
     if (call->next) call->next->prev = call->prev;
@@ -430,11 +435,20 @@
     free(call);
 }
 
-static void call_fail(struct amb_call *call) {
+static void call_end_with(struct amb_call *call, int status) {
     amb_http_done fn = call->state == CALL_SPARE ? NULL : call->fn;
     void *arg = call->arg;
     call_end(call);
-    if (fn) fn(arg, 0, NULL, 0);
+    if (fn) fn(arg, status, NULL, 0);
+}
+
+static void call_fail(struct amb_call *call) {
+    call_end_with(call, 0);
+}
+
+static void call_too_long(struct amb_call *call) {
+    amb_info("an answer of more than %zu bytes is not read", response_max);
+    call_end_with(call, AMB_HTTP_ANSWER_TOO_LONG);
 }
 
 static void call_expired(void *arg) {
@@ -456,12 +470,20 @@
 
 static void call_read(struct amb_call *call) {
     bool open = fill(call->watch.fd, &call->in);
-    if (call->state == CALL_SPARE || call->in.len > RESPONSE_MAX) {
+    if (call->state == CALL_SPARE) {
         call_fail(call);
         return;
     }
+    if (call->in.len > response_max) {
+        call_too_long(call);
+        return;
+    }
     struct amb_http_msg msg;
-    long taken = amb_http_parse(call->in.data ? call->in.data : "", call->in.len, true, RESPONSE_MAX, &msg);
+    long taken = amb_http_parse(call->in.data ? call->in.data : "", call->in.len, true, response_max, &msg);
+    if (taken == -413) {
+        call_too_long(call);
+        return;
+    }
     if (taken < 0 || (!taken && !open)) {
         call_fail(call);
         return;
--- a/lib/machine_list.c
+++ b/lib/machine_list.c
@@ -4,14 +4,21 @@
 #include "amberpin/machine_returns.h"
 #include "amberpin/node.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-enum { LIST_PAGE = 500 };
+enum {
+    LIST_PAGE = 500,       /* machines (the protocol) */
+    PAGE_FAILURES_MAX = 5, /* in a row; then the listing begins anew */
+};
 
-static void listed_machine(struct amb_node *node, const cbor_item_t *entry, amb_ms began) {
-    char name[AMB_NAME], text[AMB_NAME];
+/* Of all calls to the cloud, what a listing of many pages may take: the rest rents and returns. */
+static const double LIST_CALLS_SHARE = 0.25;
+
+static void listed_machine(struct amb_node *node, const cbor_item_t *entry, amb_ms asked_at) {
+    char name[AMB_NAME];
     double held = 0;
     if (!amb_cbor_str(amb_cbor_get(entry, "ref"), name, sizeof name)) return;
     snprintf(node->rental.list_after, sizeof node->rental.list_after, "%s", name);
@@ -21,15 +28,15 @@
     const cbor_item_t *stance = amb_cbor_get(entry, "stance");
     machine->list_pass = node->rental.list_pass;
     machine->listed = true;
-    machine->listed_at = began;
-    if (machine->type < 0 && amb_cbor_str(amb_cbor_get(entry, "hull"), text, sizeof text))
-        machine->type = amb_catalog_type(&node->catalog, text);
-    if (machine->zone < 0 && amb_cbor_str(amb_cbor_get(entry, "yard"), text, sizeof text))
-        amb_machine_learn_zone(machine, amb_catalog_zone(&node->catalog, text));
+    machine->listed_at = asked_at;
+    char type[AMB_NAME] = "", zone[AMB_NAME] = "";
+    amb_cbor_str(amb_cbor_get(entry, "hull"), type, sizeof type);
+    amb_cbor_str(amb_cbor_get(entry, "yard"), zone, sizeof zone);
+    amb_machine_learn_place(node, machine, type, zone);
     if (!machine->addr[0]) amb_cbor_str(amb_cbor_get(entry, "address"), machine->addr, sizeof machine->addr);
     if (!known) {
         amb_cbor_bool(amb_cbor_get(entry, "driftwood"), &machine->spot);
-        if (amb_cbor_num(amb_cbor_get(entry, "held_s"), &held)) machine->known_at = began - amb_secs(held);
+        if (amb_cbor_num(amb_cbor_get(entry, "held_s"), &held)) machine->known_at = asked_at - amb_secs(held);
         if (amb_cbor_eq(stance, "booting")) amb_machine_state(machine, AMB_MACHINE_BOOTING, "listed");
     }
     /* A list may be old, but a machine that failed once never works again. */
@@ -39,8 +46,6 @@
     }
 }
 
-static void list_page(struct amb_node *node);
-
 static void list_over(struct amb_node *node, amb_ms began) {
     node->rental.listed = true;
     amb_ms span = amb_absence_list_span(node->set.list_lag_s, node->set.report_s);
@@ -57,28 +62,46 @@
     }
 }
 
+/* A page was refused, or its answer lost. The first: another listing begins when its turn comes. A later one
+ * is asked for again, since a listing of 4,000 machines has eight. */
+static void page_failed(struct amb_node *node) {
+    struct amb_rental *rental = &node->rental;
+    rental->list_page_due = rental->list_pages > 0 && ++rental->list_failures < PAGE_FAILURES_MAX;
+    rental->list_retry_at = amb_now() + amb_secs(node->set.report_s / 4);
+    if (!rental->list_page_due) rental->listing = false;
+}
+
+static void page_read(struct amb_node *node, const cbor_item_t *page) {
+    struct amb_rental *rental = &node->rental;
+    const cbor_item_t *rigs = amb_cbor_get(page, "rigs");
+    bool more = false;
+    amb_cbor_bool(amb_cbor_get(page, "truncated"), &more);
+    for (size_t i = 0; i < amb_cbor_len(rigs); i++)
+        listed_machine(node, amb_cbor_at(rigs, i), rental->page_asked_at);
+    rental->list_failures = 0;
+    rental->list_pages++;
+    rental->list_page_due = more && amb_cbor_len(rigs);
+    if (rental->list_page_due) return;
+    rental->listing = false;
+    list_over(node, rental->list_began);
+}
+
+static void list_next_page(struct amb_node *node, amb_ms now);
+
 static void list_done(void *arg, int status, const char *body, size_t len) {
     struct amb_cloud_call *call = arg;
     struct amb_node *node = call->node;
-    struct amb_rental *rental = &node->rental;
     bool ours = amb_cloud_call_current(call);
     free(call);
     if (!ours) return;
-    rental->listing = false;
     amb_cloud_note_status(node, status);
-    cbor_item_t *item = status == 200 ? amb_cbor_parse(body, len) : NULL;
-    const cbor_item_t *rigs = amb_cbor_get(item, "rigs");
-    bool more = false;
-    amb_cbor_bool(amb_cbor_get(item, "truncated"), &more);
-    for (size_t i = 0; i < amb_cbor_len(rigs); i++)
-        listed_machine(node, amb_cbor_at(rigs, i), rental->list_began);
-    if (item && more && amb_cbor_len(rigs)) {
-        rental->listing = true;
-        list_page(node);
-    } else if (item && cbor_isa_map(item) && amb_cbor_get(item, "rigs")) {
-        list_over(node, rental->list_began);
-    }
-    if (item) cbor_decref(&item);
+    cbor_item_t *page = status == 200 ? amb_cbor_parse(body, len) : NULL;
+    if (page && cbor_isa_map(page) && amb_cbor_get(page, "rigs"))
+        page_read(node, page);
+    else
+        page_failed(node);
+    if (page) cbor_decref(&page);
+    list_next_page(node, amb_now());
 }
 
 static void list_page(struct amb_node *node) {
@@ -88,21 +111,43 @@
         snprintf(path, sizeof path, "/machines?after=%s&most=%d", rental->list_after, LIST_PAGE);
     else
         snprintf(path, sizeof path, "/machines?most=%d", LIST_PAGE);
+    rental->list_page_due = false;
+    rental->page_asked_at = amb_now();
     amb_http_call(node->set.cloud, "GET", path, NULL, NULL, 0, amb_secs(node->set.report_s * 3), list_done,
                   amb_cloud_call_new(node));
 }
 
+/* The next page, if one is due and a call may be made now; else the module's turn tries again. */
+static void list_next_page(struct amb_node *node, amb_ms now) {
+    const struct amb_rental *rental = &node->rental;
+    if (!rental->list_page_due || now < rental->list_retry_at || !amb_cloud_take_token(node, now)) return;
+    list_page(node);
+}
+
 /* ---- the module's turn ---- */
 
+static amb_ms pace(const struct amb_node *node) {
+    double seconds = fmax(node->set.list_lag_s * 0.25, node->set.report_s);
+    uint32_t pages = node->rental.list_pages;
+    if (pages > 1) seconds = fmax(seconds, pages / (node->set.cloud_rps * LIST_CALLS_SHARE));
+    return amb_secs(seconds);
+}
+
+static void begin_listing(struct amb_node *node, amb_ms now) {
+    struct amb_rental *rental = &node->rental;
+    rental->list_at = rental->list_began = now;
+    rental->list_pass++;
+    rental->list_after[0] = 0;
+    rental->list_pages = rental->list_failures = 0;
+    rental->list_retry_at = 0;
+    rental->listing = true;
+    list_page(node);
+}
+
 void amb_machine_list_tick(struct amb_node *node, amb_ms now) {
     struct amb_rental *rental = &node->rental;
-    amb_ms pace = amb_secs(node->set.list_lag_s * 0.25 > node->set.report_s ? node->set.list_lag_s * 0.25
-                                                                            : node->set.report_s);
-    if (!rental->listing && now - rental->list_at > pace && amb_cloud_take_token(node, now)) {
-        rental->list_at = rental->list_began = now;
-        rental->list_pass++;
-        rental->list_after[0] = 0;
-        rental->listing = true;
-        list_page(node);
-    }
+    if (rental->listing)
+        list_next_page(node, now);
+    else if (now - rental->list_at > pace(node) && amb_cloud_take_token(node, now))
+        begin_listing(node, now);
 }
--- a/lib/machine_returns.c
+++ b/lib/machine_returns.c
@@ -8,8 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { RELEASE_MAX = 100 };
-
 void amb_machine_post_gone(struct amb_node *node, struct amb_machine *machine, enum amb_absence proof) {
     amb_event_post(node,
                    &(struct amb_event){.type = AMB_EVENT_MACHINE_GONE, .machine = machine, .proof = proof});
@@ -60,7 +58,7 @@
     if (amb_duties_path(node) != AMB_RENTAL_BY_LEADER) return false;
     struct amb_machine *machine, *next;
     HASH_ITER(hh, node->fleet.all, machine, next) {
-        if (!machine->release_wanted || rental->nrelease == RELEASE_MAX) continue;
+        if (!machine->release_wanted || rental->nrelease == AMB_RELEASE_MAX) continue;
         amb_machine_state(machine, AMB_MACHINE_RELEASING, "being returned");
         strcpy(rental->release_names[rental->nrelease++], machine->name);
     }
--- a/lib/machines.c
+++ b/lib/machines.c
@@ -2,6 +2,7 @@
 
 #include "amberpin/events.h"
 #include "amberpin/log.h"
+#include "amberpin/memory.h"
 #include "amberpin/node.h"
 
 #include <stdlib.h>
@@ -34,7 +35,27 @@
     return machine;
 }
 
+size_t amb_removed_machine_bytes(void) {
+    enum { TABLE_BYTES = 32 }; /* of an allocation and of a place in the table */
+    return sizeof(struct amb_removed_machine) + TABLE_BYTES;
+}
+
+/* The longest gone is forgotten first. A late copy of its report would make it known again: as a machine that
+ * nothing is recorded on, that can't be reached, and that is returned for it. */
+static void forget_longest_gone(struct amb_node *node) {
+    struct amb_removed_machine *oldest = node->fleet.removed;
+    if (!oldest || HASH_COUNT(node->fleet.removed) < amb_memory_removed_machines(&node->set)) return;
+    if (!node->fleet.forgetting)
+        amb_info("more than %u names of machines that are gone: the oldest are forgotten",
+                 HASH_COUNT(node->fleet.removed));
+    node->fleet.forgetting = true;
+    /* NOLINTNEXTLINE(clang-analyzer-unix.Malloc): the head moves in HASH_DEL */
+    HASH_DEL(node->fleet.removed, oldest);
+    free(oldest);
+}
+
 void amb_machine_remove(struct amb_node *node, struct amb_machine *machine) {
+    forget_longest_gone(node);
     struct amb_removed_machine *removed = amb_alloc(sizeof *removed);
     strcpy(removed->name, machine->name);
     HASH_ADD_STR(node->fleet.removed, name, removed);
@@ -78,6 +99,26 @@
     for (struct amb_task *task = machine->tasks; task; task = task->next) task->job->zone_used[zone]++;
 }
 
+static void say_beyond_bounds(struct amb_machine *machine, const char *type, const char *zone) {
+    if (machine->beyond_bounds) return;
+    machine->beyond_bounds = true;
+    if (machine->type < 0)
+        amb_error(
+            "machine %s can't be used: type %s is not in the catalogue, which holds %d (AMB_TYPES) at most",
+            machine->name, type, AMB_TYPES);
+    else
+        amb_error("machine %s can't be used: zone %s is beyond the %d (AMB_ZONES) that are kept",
+                  machine->name, zone, AMB_ZONES);
+}
+
+void amb_machine_learn_place(struct amb_node *node, struct amb_machine *machine, const char *type,
+                             const char *zone) {
+    if (machine->type < 0 && type[0]) machine->type = amb_catalog_type(&node->catalog, type);
+    if (machine->zone < 0) amb_machine_learn_zone(machine, amb_catalog_zone(&node->catalog, zone));
+    if ((machine->type < 0 && type[0]) || (machine->zone < 0 && zone[0]))
+        say_beyond_bounds(machine, type, zone);
+}
+
 void amb_machine_rest(struct amb_machine *machine, double seconds, const char *cause) {
     amb_ms until = amb_now() + amb_secs(seconds);
     if (until > machine->avoid_until) machine->avoid_until = until;
--- a/lib/memory.c
+++ b/lib/memory.c
@@ -1,6 +1,7 @@
 /* The shares of a node's memory quota. */
 #include "amberpin/memory.h"
 
+#include "amberpin/machines.h"
 #include "amberpin/node.h"
 
 #include <stdlib.h>
@@ -9,6 +10,10 @@
 static const double TASK_SHARE = 1.0 / 3;
 static const double ONE_JOB_SHARE = 0.4; /* the largest job, when the leader cares for no other */
 static const double JOB_TABLE_SHARE = 1.0 / 3;
+static const double MACHINE_SHARE = 1.0 / 4;
+static const double REMOVED_SHARE = 1.0 / 64;
+static const double ANSWER_SHARE = 1.0 / 8;
+static const double PEER_MESSAGE_SHARE = 1.0 / 256; /* of all peers' messages that are kept */
 
 enum { ALLOCATION_OVERHEAD = 16, HASH_BUCKET = 16 }; /* bytes: of each allocation; of each entry of a table */
 
@@ -43,6 +48,36 @@
     return table <= amb_memory_job_table(settings) && spec->tasks <= amb_memory_tasks_of_one_job(settings);
 }
 
+/* ---- machines, messages ---- */
+
+enum {
+    PAGE_BYTES = 512 * 1024, /* of a listing of the state service (the protocol) */
+    MESSAGES_OF_A_PEER = 2,  /* that are kept: its heartbeat, and its answer to ours */
+    CONNECTION_BYTES = 1024, /* the connection of a machine, and its report while it is read */
+    TOLD_IMAGES = 6,         /* of a machine, as a rule: what a follower keeps in mind of them */
+    TOLD_IMAGE_BYTES = 256,  /* as JSON in memory */
+    MACHINE_BYTES = sizeof(struct amb_machine) + ALLOCATION_OVERHEAD + HASH_BUCKET + CONNECTION_BYTES +
+                    TOLD_IMAGES * TOLD_IMAGE_BYTES,
+};
+
+size_t amb_memory_answer(const struct amb_settings *settings) {
+    size_t share = share_of(settings, ANSWER_SHARE);
+    return share > 2 * PAGE_BYTES ? share : 2 * PAGE_BYTES;
+}
+
+size_t amb_memory_peer_message(const struct amb_settings *settings) {
+    size_t kept = MESSAGES_OF_A_PEER * (size_t)(settings->npeers ? settings->npeers : 1);
+    return share_of(settings, PEER_MESSAGE_SHARE) / kept;
+}
+
+size_t amb_memory_removed_machines(const struct amb_settings *settings) {
+    return share_of(settings, REMOVED_SHARE) / amb_removed_machine_bytes();
+}
+
+size_t amb_memory_machines(const struct amb_settings *settings) {
+    return share_of(settings, MACHINE_SHARE) / MACHINE_BYTES;
+}
+
 /* ---- descriptions ---- */
 
 void amb_job_free_spec(struct amb_job *job) {
--- a/lib/options.c
+++ b/lib/options.c
@@ -21,6 +21,7 @@
     {"silent-release", offsetof(struct amb_options, silent_release), 1.1, 100, 2.0},
     {"preempt", offsetof(struct amb_options, preempt), 0, 1, 1},
     {"duties", offsetof(struct amb_options, duties), 0, 1, 0},
+    {"fleet-machines", offsetof(struct amb_options, fleet_machines), 0, 1e6, 0},
     {"duty-lease", offsetof(struct amb_options, duty_lease), 0.001, 0.5, 0.3},
 };
 static const char DUTY_NAMES[] = "duty-names";
--- a/lib/orders.c
+++ b/lib/orders.c
@@ -36,6 +36,7 @@
     if (machine->release_wanted || machine->state == AMB_MACHINE_RELEASING) return;
     if (job->spec->kind == AMB_GANG && !amb_gang_recorded(job)) return;
     if (amb_cancel_is_pending(node, job)) return;
+    if (orders->count == orders->capacity) return; /* not sent: it goes out with the next report */
     task->sent = true;
     amb_orders_add(orders, AMB_OP_RUN, job->ref, task->index, task->attempt, 0);
 }
--- a/lib/peer.c
+++ b/lib/peer.c
@@ -36,11 +36,7 @@
         amb_http_call(peer->addr, "POST", "/peer/heartbeat", "application/json", text, len,
                       (amb_ms)(node->set.report_s * 1000), heartbeat_answered, peer);
     }
-    if (all && amb_leads(node)) {
-        for (struct amb_job *job = node->jobs.live; job; job = job->next_live) job->shown_changed = false;
-        for (struct amb_machine *machine = node->fleet.all; machine; machine = machine->hh.next)
-            machine->images_changed = false;
-    }
+    if (all) amb_peer_said(node);
     free(text);
 }
 
@@ -85,6 +81,7 @@
 void amb_peer_forget(struct amb_node *node) {
     amb_peer_forget_read(node);
     amb_peer_forget_said(node);
+    amb_peer_images_forget(node);
 }
 
 void amb_peer_init(struct amb_node *node) {
--- a/lib/peer_learn.c
+++ b/lib/peer_learn.c
@@ -1,19 +1,13 @@
 /* What a node reads in the messages of the others. */
 #include "amberpin/peer_messages.h"
 
+#include "amberpin/memory.h"
 #include "amberpin/node.h"
 
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* Machines whose images are kept in mind. */
-enum { KNOWN_MACHINES = 4096 };
-
-/* Bytes of a message that is kept to be recognised when it comes again. What those say who do not lead is
- * shorter; a leader's heartbeat tells of other machines each time. */
-enum { REPEATED_MAX = 8192 };
-
 /* By getters: json_unpack, which reads its format anew for each row, took most of what a heartbeat costs. */
 static void learn_cancellations(struct amb_node *node, const json_t *list) {
     size_t i;
@@ -76,29 +70,6 @@
     }
 }
 
-static void learn_images(struct amb_node *node, const json_t *told) {
-    if (!json_is_object(told)) return;
-    json_t **known = (json_t **)&node->peers.images;
-    if (!*known) *known = json_object();
-    if (json_object_size(*known) > KNOWN_MACHINES) json_object_clear(*known); /* names are never used again */
-    json_object_update(*known, (json_t *)told);
-}
-
-void amb_peer_recall_images(struct amb_node *node, struct amb_machine *machine) {
-    size_t i;
-    json_t *row;
-    json_t *list = json_object_get((json_t *)node->peers.images, machine->name);
-    json_array_foreach(list, i, row) {
-        const char *name;
-        double gb;
-        if (machine->nimages == AMB_IMAGES || json_unpack(row, "[s,F]", &name, &gb) ||
-            strlen(name) >= AMB_NAME)
-            continue;
-        strcpy(machine->images[machine->nimages], name);
-        machine->image_gb[machine->nimages++] = gb;
-    }
-}
-
 static uint64_t known_epoch(const json_t *heartbeat) {
     json_int_t epoch = json_integer_value(json_object_get(heartbeat, "epoch"));
     return epoch > 0 ? (uint64_t)epoch : 0;
@@ -113,7 +84,7 @@
     double token_grant = json_number_value(json_object_get(heartbeat, "token_grant"));
     if (token_grant != 0) amb_store_lent(&node->store, token_grant);
     learn_progress(node, heartbeat);
-    learn_images(node, json_object_get(heartbeat, "images"));
+    amb_peer_images_heard(node, json_object_get(heartbeat, "images"));
 }
 
 /* ---- messages of peers, parsed once as long as they repeat themselves ----
@@ -124,8 +95,11 @@
     return message->parsed && message->len == len && !memcmp(message->text, text, len);
 }
 
-static void keep_message(struct amb_peer_message *message, const char *text, size_t len, json_t *parsed) {
-    if (len > REPEATED_MAX) return;
+/* Longer messages are parsed each time. What those say who do not lead is mostly short; a leader's heartbeat
+ * tells of other machines each time. */
+static void keep_message(const struct amb_node *node, struct amb_peer_message *message, const char *text,
+                         size_t len, json_t *parsed) {
+    if (len > amb_memory_peer_message(&node->set)) return;
     json_decref(message->parsed);
     message->parsed = json_incref(parsed);
     message->text = amb_grow(message->text, len);
@@ -142,7 +116,7 @@
 json_t *amb_peer_read_answer(struct amb_peer *peer, const char *text, size_t len) {
     if (is_repeated(&peer->answer, text, len)) return json_incref(peer->answer.parsed);
     json_t *parsed = json_loadb(text, len, 0, NULL);
-    if (parsed) keep_message(&peer->answer, text, len, parsed);
+    if (parsed) keep_message(peer->node, &peer->answer, text, len, parsed);
     return parsed;
 }
 
@@ -153,7 +127,7 @@
     json_t *parsed = json_loadb(text, len, 0, NULL);
     const char *from = json_string_value(json_object_get(parsed, "from"));
     struct amb_peer *peer = from ? amb_peer_find(node, from) : NULL;
-    if (peer) keep_message(&peer->heartbeat, text, len, parsed);
+    if (peer) keep_message(node, &peer->heartbeat, text, len, parsed);
     return parsed;
 }
 
--- a/lib/peer_say.c
+++ b/lib/peer_say.c
@@ -6,9 +6,17 @@
 #include <jansson.h>
 #include <stdlib.h>
 
-/* What is told of images at a time. (All of them at once came to about the 64 KiB that a user's request may
- * have, with the machines of the fleet deployments; see AMB_HEARTBEAT_MAX for what a heartbeat may have.) */
-enum { IMAGE_SHARES = 16 };
+/* Bytes of a heartbeat that the images may take, and the progress of jobs. The rest is for cancellations.
+ * (With all images changed, as when 4,000 machines come up together, a heartbeat outgrew what the others
+ * accept, and they heard nothing of their leader.) */
+enum {
+    IMAGES_MOST = AMB_HEARTBEAT_MAX / 4,
+    PROGRESS_MOST = AMB_HEARTBEAT_MAX / 4,
+    PROGRESS_BYTES = AMB_NAME + 24, /* of one job, at most */
+    PROGRESS_ROWS = PROGRESS_MOST / PROGRESS_BYTES,
+    CANCELLATION_BYTES = AMB_NAME + 48, /* of one, at most */
+    CANCELLATIONS_MOST = AMB_HEARTBEAT_MAX / 4 / CANCELLATION_BYTES,
+};
 
 static bool own_store_ok(const struct amb_node *node, amb_ms now) {
     return node->store.ok_at > node->store.failed_at ||
@@ -39,12 +47,13 @@
 }
 
 /* For nodes that did not ask, so that they hear of it sooner than by news: the recent ones, without those up
- * to the epoch that they all know. */
-static json_t *recent_cancellations(const struct amb_node *node, uint64_t known_epoch) {
+ * to the epoch that they all know; of more than `most` the latest. */
+static json_t *recent_cancellations(const struct amb_node *node, uint64_t known_epoch, size_t most) {
     const struct amb_cancellation_list *by_wall = &node->jobs.cancellations.by_wall;
     json_t *list = json_array();
-    for (size_t i = amb_cancellations_after(by_wall, amb_wall_ms() - recent_span(node)); i < by_wall->count;
-         i++)
+    size_t first = amb_cancellations_after(by_wall, amb_wall_ms() - recent_span(node));
+    if (by_wall->count - first > most) first = by_wall->count - most;
+    for (size_t i = first; i < by_wall->count; i++)
         if (by_wall->entries[i].job->cancel_stamp > known_epoch)
             append_cancellation(list, by_wall->entries[i].job);
     return list;
@@ -85,28 +94,18 @@
     return said;
 }
 
+/* What finds no room goes into the next heartbeat, where it comes first: what was told is not changed any
+ * more. */
 static json_t *progress(struct amb_node *node) {
     json_t *list = json_array();
-    for (struct amb_job *job = node->jobs.live; job; job = job->next_live)
-        if (job->shown_changed && job->state == AMB_JOB_QUEUED)
-            json_array_append_new(
-                list, json_pack("[s,I,I]", job->ref, (json_int_t)job->ndone, (json_int_t)job->nrunning));
-    return list;
-}
-
-/* Which images lie where is nowhere on record: a new leader would send tasks to fetch what is at hand
- * elsewhere. So the leader tells the others, changes as they come and the rest a share at a time. */
-static json_t *images(struct amb_node *node, uint32_t share) {
-    json_t *by_machine = json_object();
-    uint32_t i = 0;
-    for (struct amb_machine *machine = node->fleet.all; machine; machine = machine->hh.next) {
-        if (i++ % IMAGE_SHARES != share && !machine->images_changed) continue;
-        json_t *list = json_array();
-        for (uint32_t image = 0; image < machine->nimages; image++)
-            json_array_append_new(list, json_pack("[s,f]", machine->images[image], machine->image_gb[image]));
-        json_object_set_new(by_machine, machine->name, list);
+    for (struct amb_job *job = node->jobs.live; job; job = job->next_live) {
+        if (!job->shown_changed || job->state != AMB_JOB_QUEUED) continue;
+        if (json_array_size(list) == PROGRESS_ROWS) break;
+        json_array_append_new(
+            list, json_pack("[s,I,I]", job->ref, (json_int_t)job->ndone, (json_int_t)job->nrunning));
+        job->shown_in = node->peers.images.telling;
     }
-    return by_machine;
+    return list;
 }
 
 json_t *amb_peer_answer(struct amb_node *node, const json_t *question) {
@@ -117,7 +116,7 @@
     json_int_t epoch = json_integer_value(json_object_get(question, "epoch"));
     json_object_set_new(message, "cancelled",
                         epoch > 0 ? cancellations_after_epoch(node, (uint64_t)epoch)
-                                  : recent_cancellations(node, 0));
+                                  : recent_cancellations(node, 0, SIZE_MAX));
     return message;
 }
 
@@ -189,16 +188,24 @@
 
 char *amb_peer_say(struct amb_node *node) {
     json_t *message = describe(node);
-    json_object_set_new(message, "cancelled", recent_cancellations(node, known_to_all_peers(node)));
+    json_object_set_new(message, "cancelled",
+                        recent_cancellations(node, known_to_all_peers(node), CANCELLATIONS_MOST));
     json_object_set_new(message, "epoch", json_integer((json_int_t)node->jobs.epoch));
     if (amb_leads(node)) {
         json_object_set_new(message, "token_grant", json_real(amb_store_lend(&node->store)));
+        json_object_set_new(message, "images", amb_peer_images_tell(node, IMAGES_MOST));
         json_object_set_new(message, "jobs", progress(node));
-        json_object_set_new(message, "images", images(node, node->peers.heartbeats++ % IMAGE_SHARES));
     }
     return as_text(message);
 }
 
+void amb_peer_said(struct amb_node *node) {
+    if (!amb_leads(node)) return;
+    for (struct amb_job *job = node->jobs.live; job; job = job->next_live)
+        if (job->shown_in == node->peers.images.telling) job->shown_changed = false;
+    amb_peer_images_sent(node);
+}
+
 static void forget_saying(struct amb_peer_saying *saying) {
     free(saying->text);
     saying->text = NULL;
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -10,10 +10,13 @@
 
 /* ---- what does not fit: wait for room that comes, make room, or rent ---- */
 
-enum { PLAN_TASKS = 256 }; /* of an array or a service, at a time */
+/* Tasks of an array or a service that are planned for at a time: so many, or as many as there are machines.
+ */
+enum { PLAN_TASKS_LEAST = 256 };
 
 struct plan {
     struct amb_round *r;
+    uint32_t tasks_at_a_time;
     uint32_t rent[AMB_TYPES][AMB_ZONES][2], rented;
     uint32_t nkinds;
     struct kind {
@@ -149,7 +152,7 @@
         }
     } else {
         /* The rest of a larger job has its turn once these are on their machines. */
-        if (left > PLAN_TASKS) left = PLAN_TASKS;
+        if (left > p->tasks_at_a_time) left = p->tasks_at_a_time;
         p->zones = amb_alloc(left * sizeof *p->zones);
         p->nzones = 0;
         for (; left && !done && within_plan(p, j, 1); left--) {
@@ -187,7 +190,7 @@
             amb_round_wish(r, j, &w);
             j->zone_used[m->zone]--;
             int at = amb_place_pick(&w, r->slots, r->nslots, true);
-            struct amb_slot *s = at >= 0 ? &r->slots[at] : rent_for(p, &w, PLAN_TASKS, true);
+            struct amb_slot *s = at >= 0 ? &r->slots[at] : rent_for(p, &w, p->tasks_at_a_time, true);
             j->zone_used[m->zone]++;
             if (!s) continue;
             amb_res_add(&s->room, &w.need, -1);
@@ -248,7 +251,7 @@
         /* Rented after what urgent work waits for, before what batch work does. */
         w.priority = d->last.priority < AMB_NORMAL ? d->last.priority : AMB_NORMAL;
         struct amb_marks marks[AMB_DEMAND_IMAGES] = {0}; /* by image */
-        for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < PLAN_TASKS; k++) {
+        for (uint32_t k = 0; k < (uint32_t)ceil(count) && k < p->tasks_at_a_time; k++) {
             uint32_t image = k % d->nimages; /* a share of the room for each image asked for */
             amb_round_mark_again(r, &d->last, d->images[image], &marks[image]);
             struct amb_slot *s = headroom_slot(r, &w, &claim);
@@ -411,6 +414,7 @@
     struct amb_node *n = r->n;
     struct plan *p = amb_alloc(sizeof *p);
     p->r = r;
+    p->tasks_at_a_time = r->nslots > PLAN_TASKS_LEAST ? r->nslots : PLAN_TASKS_LEAST;
     amb_round_add_coming(r);
     for (uint32_t i = 0; i < r->nslots; i++)
         if (r->slots[i].machine) {
@@ -436,6 +440,16 @@
 
 /* ---- what classes ask for ---- */
 
+/* The class that nobody has asked for longest makes way. */
+static struct amb_demand *longest_unasked(struct amb_controller *controller) {
+    struct amb_demand *oldest = &controller->demands[0];
+    for (uint32_t i = 1; i < controller->ndemands; i++)
+        if (controller->demands[i].at < oldest->at) oldest = &controller->demands[i];
+    amb_debug("class %s is no longer expected: more than %d classes are asked for", oldest->class_name,
+              AMB_DEMANDS);
+    return oldest;
+}
+
 void amb_plan_demand(struct amb_node *n, struct amb_job *j) {
     struct amb_controller *c = &n->ctl;
     const struct amb_spec *s = j->spec;
@@ -452,8 +466,7 @@
     for (uint32_t i = 0; i < c->ndemands && !d; i++)
         if (!strcmp(c->demands[i].class_name, s->class_name)) d = &c->demands[i];
     if (!d) {
-        if (c->ndemands == AMB_DEMANDS) return;
-        d = &c->demands[c->ndemands++];
+        d = c->ndemands < AMB_DEMANDS ? &c->demands[c->ndemands++] : longest_unasked(c);
         memset(d, 0, sizeof *d);
         strcpy(d->class_name, s->class_name);
         d->at = at;
--- a/lib/rental.c
+++ b/lib/rental.c
@@ -19,7 +19,7 @@
 void amb_rental_clear(struct amb_node *node) {
     struct amb_rental *rental = &node->rental;
     amb_rental_requests_clear(node);
-    rental->listing = rental->releasing = rental->listed = false;
+    rental->listing = rental->list_page_due = rental->releasing = rental->listed = false;
     rental->nrelease = 0;
     rental->list_at = 0;
     memset(rental->refused, 0, sizeof rental->refused);
--- a/lib/reports.c
+++ b/lib/reports.c
@@ -58,8 +58,7 @@
 
 static void learn_machine(struct amb_node *node, struct amb_machine *machine,
                           const struct amb_report *report) {
-    if (machine->type < 0 && report->type[0]) machine->type = amb_catalog_type(&node->catalog, report->type);
-    if (machine->zone < 0) amb_machine_learn_zone(machine, amb_catalog_zone(&node->catalog, report->zone));
+    amb_machine_learn_place(node, machine, report->type, report->zone);
     machine->spot = report->spot;
     strcpy(machine->addr, report->addr);
 }
--- a/lib/store.c
+++ b/lib/store.c
@@ -105,6 +105,7 @@
     if (item) cbor_decref(&item);
 }
 
+/* The answer to a call that follows changes has no bound but this node's: who asked must know. */
 static void op_done(void *arg, int status, const char *body, size_t len) {
     struct amb_store_op *op = arg;
     struct amb_store *s = op->store;
@@ -119,6 +120,7 @@
         s->user_pending -= op->writes;
         if (status != 200) s->user_writes.tokens -= op->writes; /* no news will tell of it */
     }
+    if (status == AMB_HTTP_ANSWER_TOO_LONG && !op->bytes_fn) status = 0; /* what it said is not known */
     if (op->bytes_fn)
         op->bytes_fn(op->arg, status, body, len);
     else
--- a/src/main.c
+++ b/src/main.c
@@ -1,3 +1,4 @@
+#include "amberpin/capacity.h"
 #include "amberpin/cli.h"
 #include "amberpin/log.h"
 #include "amberpin/node.h"
@@ -15,7 +16,8 @@
     amb_options_default(&node.opt);
     if (!amb_settings_load(cli.config, &node.set, err, sizeof err) ||
         (cli.options && !amb_options_load(cli.options, &node.opt, err, sizeof err)) ||
-        !amb_duties_check(&node.set, &node.opt, cli.options, err, sizeof err)) {
+        !amb_duties_check(&node.set, &node.opt, cli.options, err, sizeof err) ||
+        !amb_capacity_check(&node.set, &node.opt, cli.config, err, sizeof err)) {
         fprintf(stderr, "amberpin: %s\n", err);
         return 2;
     }
--- a/tests/standin/network.c
+++ b/tests/standin/network.c
@@ -236,6 +236,10 @@
     return NULL;
 }
 
+void amb_http_response_limit(size_t bytes) {
+    (void)bytes;
+}
+
 void amb_http_client_limit(int max) {
     (void)max;
 }
--- /dev/null
+++ b/tests/test_fleet_limits.c
@@ -0,0 +1,270 @@
+/* What grows with the fleet has a bound that holds for thousands of machines, and nothing is lost at it
+ * (docs/limits.md). */
+#include "amberpin/capacity.h"
+#include "amberpin/memory.h"
+#include "amberpin/orders.h"
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+#include <jansson.h>
+
+enum { LARGE_FLEET = 8000 };
+
+static void fleet_name(char out[AMB_NAME], uint32_t number) {
+    snprintf(out, AMB_NAME, "m-%06u", number);
+}
+
+static void add_machines(uint32_t first, uint32_t count, uint32_t images) {
+    char name[AMB_NAME];
+    for (uint32_t i = first; i < first + count; i++) {
+        fleet_name(name, i);
+        struct amb_machine *machine = amb_machine_get(node, name, true);
+        machine->images_changed = true;
+        for (machine->nimages = 0; machine->nimages < images; machine->nimages++) {
+            snprintf(machine->images[machine->nimages], AMB_NAME, "img-%02u", machine->nimages);
+            machine->image_gb[machine->nimages] = 65.5;
+        }
+    }
+}
+
+/* ---- heartbeats ---- */
+
+/* One heartbeat to all other nodes; what it says of images is heard here as if by one of them. */
+static size_t exchange_heartbeat(void) {
+    char *text = amb_peer_say(node);
+    size_t len = strlen(text);
+    json_t *said = json_loads(text, 0, NULL);
+    amb_peer_said(node);
+    amb_peer_images_heard(node, json_object_get(said, "images"));
+    json_decref(said);
+    free(text);
+    return len;
+}
+
+static bool is_known(uint32_t number) {
+    char name[AMB_NAME];
+    fleet_name(name, number);
+    return json_object_get(node->peers.images.told, name) ||
+           json_object_get(node->peers.images.told_before, name);
+}
+
+/* All images have changed, as when a fleet comes up: each heartbeat fits, and all is told in time. */
+static void every_machine_is_told_of(void **state) {
+    (void)state;
+    static const struct {
+        uint32_t machines, images, heartbeats;
+    } rows[] = {{1000, 4, 2}, {4000, 4, 4}, {LARGE_FLEET, 4, 8}, {LARGE_FLEET, AMB_IMAGES, 60}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        add_machines(0, rows[i].machines, rows[i].images);
+        for (uint32_t k = 0; k < rows[i].heartbeats; k++)
+            if (exchange_heartbeat() > AMB_HEARTBEAT_MAX) fail_msg("row %zu: heartbeat %u is too long", i, k);
+        for (uint32_t k = 0; k < rows[i].machines; k++)
+            if (!is_known(k)) fail_msg("row %zu: machine %u is not told of", i, k);
+        for (const struct amb_machine *m = node->fleet.all; m; m = m->hh.next)
+            if (m->images_changed) fail_msg("row %zu: %s would be told of again", i, m->name);
+    }
+}
+
+/* Names that are gone are forgotten, those that are there never: also when more than ever were there come and
+ * go. */
+static void machines_that_are_gone_are_forgotten(void **state) {
+    (void)state;
+    enum { KEPT = 4000, SPIKE = 1000, SPIKES = 12, HEARTBEATS = 50 };
+    add_machines(0, KEPT, 2);
+    for (uint32_t spike = 0; spike < SPIKES; spike++) {
+        add_machines(KEPT + spike * SPIKE, SPIKE, 2);
+        for (uint32_t i = 0; i < HEARTBEATS; i++) exchange_heartbeat();
+        for (uint32_t i = 0; i < SPIKE; i++) {
+            char name[AMB_NAME];
+            fleet_name(name, KEPT + spike * SPIKE + i);
+            amb_machine_gone(node, amb_machine_get(node, name, false), AMB_ABSENCE_RETURNED);
+        }
+        for (uint32_t i = 0; i < KEPT; i++)
+            if (!is_known(i)) fail_msg("spike %u: machine %u is forgotten", spike, i);
+    }
+    assert_true(is_known(KEPT + (SPIKES - 1) * SPIKE));
+    assert_false(is_known(KEPT));
+    assert_in_range(json_object_size(node->peers.images.told_before), KEPT, KEPT + 3 * SPIKE);
+}
+
+/* Counts of a job change faster than there is room to tell them: the rest is told next. */
+static void progress_of_many_jobs_is_told_in_parts(void **state) {
+    (void)state;
+    enum { JOBS = 12000 };
+    char ref[AMB_NAME];
+    for (uint32_t i = 0; i < JOBS; i++) {
+        snprintf(ref, sizeof ref, "wk-%06u", i);
+        add_job(ref, AMB_ARRAY, 1)->shown_changed = true;
+    }
+    for (uint32_t i = 0; i < 8; i++) assert_in_range(exchange_heartbeat(), 1, AMB_HEARTBEAT_MAX);
+    for (const struct amb_job *job = node->jobs.live; job; job = job->next_live)
+        if (job->shown_changed) fail_msg("%s is not told of", job->ref);
+}
+
+/* ---- names of machines that are gone ---- */
+
+static void the_longest_gone_are_forgotten(void **state) {
+    (void)state;
+    size_t most = amb_memory_removed_machines(&node->set);
+    char name[AMB_NAME];
+    assert_in_range(most, 1000, 100000);
+    for (uint32_t i = 0; i < most + 10; i++) {
+        fleet_name(name, i);
+        amb_machine_gone(node, amb_machine_get(node, name, true), AMB_ABSENCE_RETURNED);
+    }
+    size_t kept = 0;
+    for (uint32_t i = 0; i < most + 10; i++) {
+        fleet_name(name, i);
+        kept += amb_machine_was_removed(node, name);
+    }
+    assert_int_equal(kept, most);
+    fleet_name(name, 9);
+    assert_false(amb_machine_was_removed(node, name));
+    fleet_name(name, 10);
+    assert_true(amb_machine_was_removed(node, name));
+}
+
+/* ---- types and zones that are not kept ---- */
+
+static void machines_beyond_a_bound_are_not_used(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *type, *zone;
+        bool used;
+    } rows[] = {{"known", "g8", "a", true},
+                {"of no known type", "g9", "a", false},
+                {"in the seventeenth zone", "g8", "one more", false}};
+    char zone[AMB_NAME];
+    for (uint32_t i = node->catalog.nzones; i < AMB_ZONES; i++) {
+        snprintf(zone, sizeof zone, "zone-%u", i);
+        amb_catalog_zone(&node->catalog, i ? zone : "a");
+    }
+    strcpy(node->catalog.types[0].name, "g8");
+    node->catalog.ntypes = 1;
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_machine *machine = amb_machine_get(node, rows[i].what, true);
+        machine->state = AMB_MACHINE_UP;
+        machine->reported_at = amb_now();
+        amb_machine_learn_place(node, machine, rows[i].type, rows[i].zone);
+        if (amb_machine_usable(node, machine, amb_now()) != rows[i].used) fail_msg("%s", rows[i].what);
+        if (machine->beyond_bounds == rows[i].used) fail_msg("%s: said %d", rows[i].what, !rows[i].used);
+    }
+}
+
+/* ---- the cloud's list ---- */
+
+static void answer_list_page(uint32_t first, uint32_t count, bool more) {
+    struct amb_buf body = {0};
+    char name[AMB_NAME];
+    amb_w_map(&body, 2);
+    amb_w_str(&body, "rigs"), amb_w_list(&body, count);
+    for (uint32_t i = first; i < first + count; i++) {
+        fleet_name(name, i);
+        amb_w_map(&body, 2);
+        amb_w_str(&body, "ref"), amb_w_str(&body, name);
+        amb_w_str(&body, "stance"), amb_w_str(&body, "running");
+    }
+    amb_w_str(&body, "truncated"), amb_w_bool(&body, more);
+    fake_answer(open_call("GET", "/machines?"), 200, &body);
+}
+
+static void let_time_pass(amb_ms span) {
+    fake_clock_advance(span);
+    node->election.renewed_at = amb_now();
+    amb_rental_tick(node, amb_now());
+}
+
+/* Each page takes a call, so that rentals are not refused for a long list; a page that fails is asked for
+ * again. */
+static void long_lists_keep_to_the_calls_allowed(void **state) {
+    (void)state;
+    enum { PAGES = 8, PAGE = 500 };
+    node->set.cloud_rps = 1;
+    node->rental.calls.tokens = 1;
+    amb_rental_tick(node, amb_now());
+    for (uint32_t page = 0; page < PAGES; page++) {
+        if (page == 4) {
+            fake_answer(open_call("GET", "/machines?"), 503, NULL);
+            if (find_call("GET", "/machines?")) fail_msg("the failed page is asked for at once");
+            let_time_pass(5000);
+        }
+        char path[64];
+        snprintf(path, sizeof path, page ? "/machines?after=m-%06u&" : "/machines?most", page * PAGE - 1);
+        open_call("GET", path);
+        answer_list_page(page * PAGE, PAGE, page < PAGES - 1);
+        if (find_call("GET", "/machines?")) fail_msg("page %u without a call left for it", page + 1);
+        assert_int_equal(node->rental.listed, page == PAGES - 1);
+        let_time_pass(2500);
+    }
+    assert_int_equal(HASH_COUNT(node->fleet.all), PAGES * PAGE);
+    /* The next one leaves most calls to others. */
+    amb_ms began = node->rental.list_at;
+    while (node->rental.list_at == began) let_time_pass(500);
+    assert_in_range(node->rental.list_at - began, PAGES * 1000 / 0.25, PAGES * 1000 / 0.25 + 3000);
+}
+
+/* ---- answers to reports ---- */
+
+/* A start that finds no room in an answer is not on its way: it was once counted as sent, and its machine
+ * blamed for not acting on it. */
+static void starts_beyond_an_answer_go_out_next(void **state) {
+    (void)state;
+    enum { TASKS = 3, ROOM = 2 };
+    struct amb_order list[ROOM];
+    struct amb_job *job = add_job("wk-1", AMB_SERVICE, TASKS);
+    machine_up("m-1", 0);
+    for (uint32_t i = 0; i < TASKS; i++) bound(job, i, "m-1", i + 1);
+    struct amb_orders first = {list, ROOM, 0};
+    for (uint32_t i = 0; i < TASKS; i++) amb_orders_add_start(node, &job->tasks[i], &first);
+    assert_int_equal(first.count, ROOM);
+    for (uint32_t i = 0; i < TASKS; i++) assert_int_equal(job->tasks[i].sent, i < ROOM);
+    struct amb_orders next = {list, ROOM, 0};
+    amb_orders_add_start(node, &job->tasks[ROOM], &next);
+    assert_int_equal(next.count, 1);
+    assert_true(job->tasks[ROOM].sent);
+}
+
+/* ---- the fleet that operators name ---- */
+
+static void quotas_that_hold_no_such_fleet_are_refused(void **state) {
+    (void)state;
+    static const struct {
+        double machines, sockets, memory_mb;
+        const char *complaint; /* NULL: fine */
+    } rows[] = {
+        {0, 32, 4, NULL},
+        {500, 800, 56, NULL},
+        {4000, 6182, 128, NULL},
+        {4000, 6181, 128, "f.toml: params.quota.fd_limit: 6181 sockets; fleet-machines 4000 needs 6182"},
+        {4000, 800, 128, "f.toml: params.quota.fd_limit: 800 sockets; fleet-machines 4000 needs 6182"},
+        {4000, 8000, 27, "f.toml: params.quota.memory_mb: 27 MB hold "},
+        {8000, 16000, 256, NULL},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        const struct amb_settings settings = {.fd_limit = rows[i].sockets, .memory_mb = rows[i].memory_mb};
+        struct amb_options options;
+        char err[256] = "";
+        amb_options_default(&options);
+        options.fleet_machines = rows[i].machines;
+        bool holds = amb_capacity_check(&settings, &options, "f.toml", err, sizeof err);
+        if (holds != !rows[i].complaint || (!holds && !strstr(err, rows[i].complaint)))
+            fail_msg("row %zu: '%s'", i, err);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(every_machine_is_told_of, begin, end),
+        cmocka_unit_test_setup_teardown(machines_that_are_gone_are_forgotten, begin, end),
+        cmocka_unit_test_setup_teardown(progress_of_many_jobs_is_told_in_parts, begin, end),
+        cmocka_unit_test_setup_teardown(the_longest_gone_are_forgotten, begin, end),
+        cmocka_unit_test_setup_teardown(machines_beyond_a_bound_are_not_used, begin, end),
+        cmocka_unit_test_setup_teardown(long_lists_keep_to_the_calls_allowed, begin, end),
+        cmocka_unit_test_setup_teardown(starts_beyond_an_answer_go_out_next, begin, end),
+        cmocka_unit_test(quotas_that_hold_no_such_fleet_are_refused),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/test_http_calls.c
+++ b/tests/test_http_calls.c
@@ -11,6 +11,7 @@
 enum {
     LARGE = 7 * 1024 * 1024,
     LIMIT = 8 * 1024 * 1024,
+    ANSWER_LIMIT = LARGE + 64 * 1024,
     TIMEOUT_MS = 15000,
     IDLE_MS = 2500,
     FIRST_PORT = 21000,
@@ -67,6 +68,7 @@
     {"twenty more, on open connections", "/echo", &here, 20, 1000, 200, 0},
     {"large", "/echo", &here, 1, LARGE, 200, 0},
     {"large again, on an open connection", "/echo", &here, 3, LARGE, 200, 0},
+    {"longer than an answer may be", "/echo", &here, 2, ANSWER_LIMIT, AMB_HTTP_ANSWER_TOO_LONG, 0},
     {"after the server closed idle connections", "/echo", &here, 2, 10, 200, IDLE_MS + 500},
     {"no answer in time", "/silent", &here, 2, 10, 0, 0},
     {"after that", "/echo", &here, 2, 10, 200, 0},
@@ -139,13 +141,14 @@
     (void)state;
     amb_loop_init();
     amb_http_client_limit(64);
+    amb_http_response_limit(ANSWER_LIMIT);
     rude_listener = listen_somewhere(rude_address);
     int taken = listen_somewhere(address); /* the port, for the server to open a moment later */
     close(taken);
     assert_non_null(amb_server_open(address, 64, LIMIT, IDLE_MS, serve, NULL));
     close(listen_somewhere(closed_address));
-    body = malloc(LARGE);
-    for (size_t i = 0; i < LARGE; i++) body[i] = (char)('a' + i % 26);
+    body = malloc(LIMIT);
+    for (size_t i = 0; i < LIMIT; i++) body[i] = (char)('a' + i % 26);
     amb_timer_in(&watchdog, 60000, too_long, NULL);
     make_calls(NULL);
     amb_loop_run();
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -78,6 +78,7 @@
     node->set.report_s = 1;
     node->set.lease_s = 10;
     node->set.cancel_s = 30;
+    node->set.memory_mb = 40;
     amb_peer_init(node);
     return 0;
 }
--- a/tests/test_user_questions.c
+++ b/tests/test_user_questions.c
@@ -110,8 +110,7 @@
 
 /* Changes are gone by when the node asks for them: it lists all keys, once, and what changes meanwhile is
  * followed from where the listing began. */
-static void one_listing_at_a_time(void **state) {
-    (void)state;
+static void list_once(int status) {
     static const char queued[] =
         "{\"path\":\"a/job/" JOB "\",\"stamp\":5,\"value\":{\"s\":\"queued\",\"a\":1}}";
     hear(5, "queued");
@@ -119,7 +118,7 @@
     for (int user = 0; user < 3; user++) {
         if (node->jobs.sync_timer.slot) fire(&node->jobs.sync_timer);
         poll_job(user);
-        fake_answer(open_call(SYNC), 410, NULL);
+        fake_answer(open_call(SYNC), status, NULL);
         expect("while it lists", user, 503, NULL);
         if (user == 0) answer_list(20000, queued, true);
     }
@@ -130,6 +129,17 @@
     assert_string_equal(open_call(SYNC)->path, "/follow?prefix=a/&after=20000&wait_ms=2000");
 }
 
+static void one_listing_at_a_time(void **state) {
+    (void)state;
+    list_once(410);
+}
+
+/* More has changed than the node may read at a time: asked for again, it would be as long. */
+static void changes_too_long_to_read_are_listed(void **state) {
+    (void)state;
+    list_once(AMB_HTTP_ANSWER_TOO_LONG);
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {
         TEST(a_read_sent_before_answers_nobody),
@@ -137,6 +147,7 @@
         TEST(final_states_need_no_read),
         TEST(old_news),
         TEST(one_listing_at_a_time),
+        TEST(changes_too_long_to_read_are_listed),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
