Record which machines the leader returns, so that no late call hits one in use

Cause: a call that returns machines may reach the cloud seconds after its sender was replaced.

Change: the leader writes the names under b/returns, guarded by its term and by the key's stamp, before it calls; a new leader reads them with its records, never uses the machines and repeats the call. One write for each call of up to 100 machines, none when it is answered. Used once format 2 is in use.

--- a/include/amberpin/rental.h
+++ b/include/amberpin/rental.h
@@ -4,6 +4,7 @@
 
 #include "amberpin/loop.h"
 #include "amberpin/model.h"
+#include "amberpin/return_record.h"
 #include "amberpin/store.h"
 
 #include <cbor.h>
@@ -47,7 +48,8 @@
     uint32_t list_pages; /* of the listing under way, or of the last */
     struct amb_refusal refused[AMB_TYPES][AMB_ZONES][2];
     char release_names[AMB_RELEASE_MAX][AMB_NAME];
-    uint32_t nrelease;
+    uint32_t nrelease; /* to be returned together: recorded, then asked for until it is answered */
+    struct amb_return_record return_record;
 };
 
 void amb_rental_init(struct amb_node *node);
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -82,6 +82,7 @@
             continue;
         amb_record_load(n, key, amb_cbor_get(p, "value"), stamp);
         amb_rental_load(n, key, amb_cbor_get(p, "value"));
+        amb_return_record_load(n, key, amb_cbor_get(p, "value"), stamp);
         snprintf(n->ctl.load_after, sizeof n->ctl.load_after, "%s", key);
     }
     bool more = false;
@@ -163,6 +164,7 @@
     case AMB_EVENT_TASK_RECORDED: amb_answer_start(event->task); break;
     case AMB_EVENT_MACHINE_KNOWN:
         amb_duties_machine_known(n, event->machine);
+        amb_return_record_machine_known(n, event->machine);
         amb_peer_images_recall(n, event->machine);
         break;
     case AMB_EVENT_MACHINE_GONE: amb_machine_gone(n, event->machine, event->proof); break;
--- a/lib/machine_returns.c
+++ b/lib/machine_returns.c
@@ -46,19 +46,24 @@
         return;
     }
     for (uint32_t i = 0; i < rental->nrelease; i++) {
-        struct amb_machine *machine = amb_machine_get(node, rental->release_names[i], false);
+        /* Known or not, since late copies of its reports are to mean nothing. */
+        struct amb_machine *machine = amb_machine_get(node, rental->release_names[i], true);
         if (machine) amb_machine_post_gone(node, machine, AMB_ABSENCE_RETURNED);
     }
     rental->nrelease = 0;
+    amb_return_record_settled(node);
 }
 
 static bool pick_releases(struct amb_node *node) {
     struct amb_rental *rental = &node->rental;
     if (rental->nrelease) return true; /* the same again until it is answered */
     if (amb_duties_path(node) != AMB_RENTAL_BY_LEADER) return false;
+    size_t room = amb_return_record_room(node);
     struct amb_machine *machine, *next;
     HASH_ITER(hh, node->fleet.all, machine, next) {
-        if (!machine->release_wanted || rental->nrelease == AMB_RELEASE_MAX) continue;
+        size_t bytes = strlen(machine->name) + AMB_RETURN_NAME_BYTES;
+        if (!machine->release_wanted || rental->nrelease == AMB_RELEASE_MAX || bytes > room) continue;
+        room -= bytes;
         amb_machine_state(machine, AMB_MACHINE_RELEASING, "being returned");
         strcpy(rental->release_names[rental->nrelease++], machine->name);
     }
@@ -81,6 +86,6 @@
 void amb_machine_returns_tick(struct amb_node *node, amb_ms now) {
     struct amb_rental *rental = &node->rental;
     if (!rental->releasing && now >= rental->release_retry_at && amb_may_start(node) && pick_releases(node) &&
-        amb_cloud_take_token(node, now))
+        amb_return_record_ready(node, now) && amb_cloud_take_token(node, now))
         release(node);
 }
--- a/lib/rental.c
+++ b/lib/rental.c
@@ -21,6 +21,7 @@
     amb_rental_requests_clear(node);
     rental->listing = rental->list_page_due = rental->releasing = rental->listed = false;
     rental->nrelease = 0;
+    amb_return_record_clear(node);
     rental->list_at = 0;
     memset(rental->refused, 0, sizeof rental->refused);
 }
--- a/tests/standin/cloud.c
+++ b/tests/standin/cloud.c
@@ -150,7 +150,16 @@
     return false;
 }
 
-static void release(const cbor_item_t *body) {
+/* Work of a leader that came after the call was sent: it must have known of the call. */
+static bool in_use_by_later_leader(const struct sim_machine *machine, const struct sim_call *call) {
+    if (!in_use(machine) || !call->returns_on_record) return false;
+    for (uint32_t i = 0; i < machine->task_count; i++)
+        if (machine->tasks[i].on != AMB_ON_EXITED && machine->tasks[i].token > call->sent_at_revision)
+            return true;
+    return false;
+}
+
+static void release(const struct sim_call *call, const cbor_item_t *body) {
     const cbor_item_t *rigs = amb_cbor_get(body, "rigs");
     bool by_duty = amb_cbor_get(body, "duty") != NULL,
          planned = amb_cbor_eq(amb_cbor_get(body, "duty"), "return");
@@ -161,6 +170,8 @@
             struct sim_machine *machine = &world.machines[k];
             if (strcmp(machine->name, name) != 0) continue;
             if (planned && in_use(machine)) sim_broken("duty: %s is returned in use", name);
+            if (in_use_by_later_leader(machine, call))
+                sim_broken("late return: %s is returned in use by a later leader", name);
             world.result.returns_by_duty += by_duty && machine->exists;
             machine_end(machine);
         }
@@ -194,7 +205,8 @@
         amb_w_str(&b, "yards"), amb_w_list(&b, 2), amb_w_str(&b, "a"), amb_w_str(&b, "b");
         sim_call_answer(call, 200, &b);
     } else if (!strcmp(call->path, "/machines/release")) {
-        release(body);
+        world.result.late_returns += sim_leader_stamp() > call->sent_at_revision;
+        release(call, body);
         struct amb_buf b = {0};
         amb_w_map(&b, 0);
         sim_call_answer(call, 200, &b);
--- a/tests/standin/network.c
+++ b/tests/standin/network.c
@@ -164,6 +164,11 @@
         return sim_between(2000, 16000);
     }
     if (write && sim_fault_strikes(SIM_LOST_WRITES)) call->unanswered = true;
+    bool returns = call->to == SIM_AT_CLOUD && !strcmp(call->path, "/machines/release");
+    if (returns && sim_fault_strikes(SIM_LATE_RETURNS)) {
+        call->unanswered = true;
+        return sim_between(3000, 15000);
+    }
     return 0;
 }
 
@@ -223,6 +228,8 @@
     call->from = world.current;
     call->incarnation = world.nodes[world.current].incarnation;
     call->to = place_of(addr);
+    call->sent_at_revision = world.state.revision;
+    call->returns_on_record = sim_returns_are_recorded();
     if (call->to == SIM_AT_PEER) call->node = addr[1] - '0';
     if (call->to == SIM_AT_WORKER) call->machine = (int)strtol(addr + 1, NULL, 10);
     snprintf(call->method, sizeof call->method, "%s", method);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -60,6 +60,7 @@
     SIM_DUTIES,          /* single-holder duties: at the day's beginning (at: 0) all nodes have them switched
                             on; else one node after another ends and comes back with them. After `lasts`
                             they are switched off likewise */
+    SIM_LATE_RETURNS, /* percent of calls that return machines are carried out 3 to 15 s later, unanswered */
     SIM_FAULTS,
 };
 
@@ -114,6 +115,7 @@
     size_t job_table_most;         /* bytes, the most that a node's table of jobs took */
     uint32_t rents_by_duty;        /* rental requests that the holder of a duty sent, repeated ones too */
     uint32_t returns_by_duty;      /* machines that one returned */
+    uint32_t late_returns;         /* calls to return machines that were sent under an earlier leader */
     uint32_t stale_refused;        /* calls of holders that the cloud refused for their token */
     uint32_t handovers;            /* changes of a duty's holder */
     uint32_t mode_changes;         /* of who rents and returns: leader or holders */
--- a/tests/standin/state_service.c
+++ b/tests/standin/state_service.c
@@ -274,6 +274,15 @@
     return read && mode == AMB_DUTY_MODE_DUTIES;
 }
 
+uint64_t sim_leader_stamp(void) {
+    int k = key_find("a/leader");
+    return k < 0 ? 0 : world.state.keys[k].stamp;
+}
+
+bool sim_returns_are_recorded(void) {
+    return key_find("a/format") >= 0;
+}
+
 /* Tokens must rise by one with each holder, and never fall. */
 static void check_duty_record(const char *key, const struct amb_buf *old, const cbor_item_t *now) {
     struct amb_duty_record before = {0}, after = {0};
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -195,6 +195,7 @@
     memcpy(task->ref, order->ref, sizeof task->ref);
     task->index = order->index;
     task->attempt = order->attempt;
+    task->token = machine->token;
     task->on = AMB_ON_FETCHING;
     task->image_at = world.now + sim_pace.fetch;
     world.result.ordered++;
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -63,9 +63,11 @@
     amb_http_done fn;
     void *arg;
     bool given_up, answered;
-    bool held;            /* it was held up already */
-    bool unanswered;      /* its answer is lost, whatever happens */
-    uint64_t incarnation; /* of the asking node */
+    bool held;                 /* it was held up already */
+    bool unanswered;           /* its answer is lost, whatever happens */
+    uint64_t incarnation;      /* of the asking node */
+    uint64_t sent_at_revision; /* of the state service: leaders of later terms came after it */
+    bool returns_on_record;    /* when it was sent, leaders recorded what they return */
     struct amb_timer go, back, deadline;
     int status;
     amb_ms answered_at;
@@ -97,6 +99,7 @@
     char ref[AMB_NAME];
     uint32_t index;
     uint64_t attempt;
+    uint64_t token; /* of the leader that ordered its start */
     enum amb_on on;
     enum amb_why why;
     amb_ms image_at, end_at, waits_from;
@@ -264,8 +267,10 @@
 
 /* state_service.c */
 void sim_serve_state(struct sim_call *call);
-void sim_state_tick(void);    /* leases end, refusals are over */
-bool sim_duties_in_use(void); /* by what is on record now */
+void sim_state_tick(void);           /* leases end, refusals are over */
+bool sim_duties_in_use(void);        /* by what is on record now */
+uint64_t sim_leader_stamp(void);     /* the latest leader's term; 0: none leads */
+bool sim_returns_are_recorded(void); /* likewise: no leader of an old version can come any more */
 
 /* cloud.c */
 void sim_serve_cloud(struct sim_call *call);
