Keep a machine's images apart from it, as many as there are

Cause: the leader walks all machines in each tick, heartbeat and round; each was 2.3 KB, nearly all of it room for 24 images. Change: images are allocated as they come.

--- a/include/amberpin/machines.h
+++ b/include/amberpin/machines.h
@@ -33,6 +33,8 @@
 /* It may be given work now. */
 bool amb_machine_usable(const struct amb_node *node, const struct amb_machine *machine, amb_ms now);
 
+/* Makes room for so many images: most machines hold few, and a leader walks all machines. */
+void amb_machine_image_room(struct amb_machine *machine, uint32_t images);
 bool amb_machine_has_image(const struct amb_machine *machine, const char *image);
 void amb_machine_use_image(struct amb_node *node, struct amb_machine *machine, const char *image, double gb);
 
--- a/lib/machines.c
+++ b/lib/machines.c
@@ -35,6 +35,12 @@
     return machine;
 }
 
+static void free_machine(struct amb_machine *machine) {
+    free(machine->images);
+    free(machine->image_gb);
+    free(machine);
+}
+
 size_t amb_removed_machine_bytes(void) {
     enum { TABLE_BYTES = 32 }; /* of an allocation and of a place in the table */
     return sizeof(struct amb_removed_machine) + TABLE_BYTES;
@@ -60,7 +66,7 @@
     strcpy(removed->name, machine->name);
     HASH_ADD_STR(node->fleet.removed, name, removed);
     HASH_DEL(node->fleet.all, machine);
-    free(machine);
+    free_machine(machine);
 }
 
 void amb_machines_clear(struct amb_node *node) {
@@ -68,7 +74,7 @@
     HASH_ITER(hh, node->fleet.all, machine, next) {
         /* NOLINTNEXTLINE(clang-analyzer-*): the head moves in HASH_DEL, which the analyzer does not see */
         HASH_DEL(node->fleet.all, machine);
-        free(machine);
+        free_machine(machine);
     }
 }
 
@@ -131,6 +137,17 @@
            machine->zone >= 0 && now - machine->reported_at < amb_secs(node->set.report_s * 3);
 }
 
+void amb_machine_image_room(struct amb_machine *machine, uint32_t images) {
+    enum { FIRST_ROOM = 4 };
+    if (images > AMB_IMAGES) images = AMB_IMAGES;
+    if (images <= machine->images_room) return;
+    uint32_t room = machine->images_room ? machine->images_room : FIRST_ROOM;
+    while (room < images) room *= 2;
+    machine->images_room = room < AMB_IMAGES ? room : AMB_IMAGES;
+    machine->images = amb_grow(machine->images, machine->images_room * sizeof *machine->images);
+    machine->image_gb = amb_grow(machine->image_gb, machine->images_room * sizeof *machine->image_gb);
+}
+
 bool amb_machine_has_image(const struct amb_machine *machine, const char *image) {
     for (uint32_t i = 0; i < machine->nimages; i++)
         if (!strcmp(machine->images[i], image)) return true;
@@ -139,6 +156,7 @@
 
 /* What the machine's cache is thought to hold: the most recently used images that fit in it. */
 void amb_machine_use_image(struct amb_node *node, struct amb_machine *machine, const char *image, double gb) {
+    amb_machine_image_room(machine, machine->nimages + 1);
     if (amb_latest_first(machine->images, machine->image_gb, &machine->nimages, AMB_IMAGES, image, gb))
         machine->images_changed = true;
     double room = machine->type >= 0 ? node->catalog.types[machine->type].cache_gb : 0;
--- a/lib/memory.c
+++ b/lib/memory.c
@@ -54,7 +54,7 @@
     PAGE_BYTES = 512 * 1024, /* of a listing of the state service (the protocol) */
     MESSAGES_OF_A_PEER = 2,  /* that are kept: its heartbeat, and its answer to ours */
     CONNECTION_BYTES = 1024, /* the connection of a machine, and its report while it is read */
-    TOLD_IMAGES = 6,         /* of a machine, as a rule: what a follower keeps in mind of them */
+    TOLD_IMAGES = 6,         /* of a machine, as a rule: what a leader and a follower keep in mind of them */
     TOLD_IMAGE_BYTES = 256,  /* as JSON in memory */
     MACHINE_BYTES = sizeof(struct amb_machine) + ALLOCATION_OVERHEAD + HASH_BUCKET + CONNECTION_BYTES +
                     TOLD_IMAGES * TOLD_IMAGE_BYTES,
--- a/lib/peer_images.c
+++ b/lib/peer_images.c
@@ -95,6 +95,7 @@
     const char *name = json_string_value(json_array_get(image, 0));
     const json_t *gb = json_array_get(image, 1);
     if (!name || !json_is_number(gb) || strlen(name) >= AMB_NAME || machine->nimages == AMB_IMAGES) return;
+    amb_machine_image_room(machine, machine->nimages + 1);
     strcpy(machine->images[machine->nimages], name);
     machine->image_gb[machine->nimages++] = json_number_value(gb);
 }
--- a/tests/test_fleet_limits.c
+++ b/tests/test_fleet_limits.c
@@ -22,6 +22,7 @@
         fleet_name(name, i);
         struct amb_machine *machine = amb_machine_get(node, name, true);
         machine->images_changed = true;
+        amb_machine_image_room(machine, images);
         for (machine->nimages = 0; machine->nimages < images; machine->nimages++) {
             snprintf(machine->images[machine->nimages], AMB_NAME, "img-%02u", machine->nimages);
             machine->image_gb[machine->nimages] = 65.5;
--- a/tests/test_heartbeats.c
+++ b/tests/test_heartbeats.c
@@ -117,6 +117,7 @@
         char name[AMB_NAME];
         snprintf(name, sizeof name, "m-%06u", i);
         struct amb_machine *m = amb_machine_get(node, name, true);
+        amb_machine_image_room(m, AMB_IMAGES);
         for (m->nimages = 0; m->nimages < AMB_IMAGES; m->nimages++) {
             snprintf(m->images[m->nimages], AMB_NAME, "img-%02u", m->nimages);
             m->image_gb[m->nimages] = 65.5;
