Score a slot that changed several times once

Gangs that find no room take and give back the same few slots; each ranking looked at all of these changes, or at all slots when there were more changes than slots.

--- a/include/amberpin/slot_ranking.h
+++ b/include/amberpin/slot_ranking.h
@@ -51,6 +51,8 @@
     uint64_t questions;
     uint32_t *changed; /* slots, in the order of their changes */
     uint32_t changes, room;
+    uint32_t *latest_change; /* of each slot: its place in `changed` */
+    uint32_t latest_room;
     uint32_t *place; /* of each slot, within its zone */
     uint32_t placed, place_room;
     struct amb_zone_slots {
--- a/lib/slot_ranking.c
+++ b/lib/slot_ranking.c
@@ -153,13 +153,15 @@
     }
 }
 
+/* A slot that changed several times is scored once, as it is now: gangs that find no room take and give back
+ * the same few again and again. */
 static void bring_up_to_date(struct amb_slot_rankings *rankings, struct amb_slot_ranking *ranking,
                              const struct amb_slot_list *list, const struct question *question) {
-    bool most_changed = rankings->changes - ranking->changes_seen > list->count;
-    if (most_changed) ranking->slots_seen = 0;
-    for (uint32_t k = ranking->changes_seen; k < rankings->changes && !most_changed; k++)
-        if (rankings->changed[k] < ranking->slots_seen)
-            score_slot(rankings, ranking, list, question, rankings->changed[k]);
+    for (uint32_t k = ranking->changes_seen; k < rankings->changes; k++) {
+        uint32_t slot = rankings->changed[k];
+        if (rankings->latest_change[slot] == k && slot < ranking->slots_seen)
+            score_slot(rankings, ranking, list, question, slot);
+    }
     for (uint32_t i = ranking->slots_seen; i < list->count; i++)
         score_slot(rankings, ranking, list, question, i);
     ranking->changes_seen = rankings->changes;
@@ -204,6 +206,12 @@
         rankings->room = rankings->room ? 2 * rankings->room : FIRST_CAPACITY;
         rankings->changed = amb_grow(rankings->changed, rankings->room * sizeof *rankings->changed);
     }
+    if (slot >= rankings->latest_room) {
+        rankings->latest_room = slot + slot / 2 + FIRST_CAPACITY;
+        rankings->latest_change =
+            amb_grow(rankings->latest_change, rankings->latest_room * sizeof *rankings->latest_change);
+    }
+    rankings->latest_change[slot] = rankings->changes;
     rankings->changed[rankings->changes++] = slot;
 }
 
@@ -211,6 +219,7 @@
     for (uint32_t i = 0; i < rankings->count; i++) ranking_free(rankings->kept[i]);
     for (uint32_t zone = 0; zone < AMB_ZONES; zone++) free(rankings->zones[zone].slots);
     free(rankings->changed);
+    free(rankings->latest_change);
     free(rankings->place);
     memset(rankings, 0, sizeof *rankings);
 }
