--- a/lib/memory.c
+++ b/lib/memory.c
@@ -57,7 +57,7 @@
     TOLD_IMAGES = 6,         /* of a machine, as a rule: what a leader and a follower keep in mind of them */
     TOLD_IMAGE_BYTES = 256,  /* as JSON in memory */
     MACHINE_BYTES = sizeof(struct amb_machine) + ALLOCATION_OVERHEAD + HASH_BUCKET + CONNECTION_BYTES +
-                    TOLD_IMAGES * TOLD_IMAGE_BYTES,
+                    (size_t)TOLD_IMAGES * TOLD_IMAGE_BYTES,
 };
 
 size_t amb_memory_answer(const struct amb_settings *settings) {
