--- a/bench/case_load.c
+++ b/bench/case_load.c
@@ -50,6 +50,10 @@
     {"load/take-over", &world_sizes[0], take_over, load_placements, finish, true},
     {"load/take-over", &world_sizes[1], take_over, load_placements, finish, true},
     {"load/take-over", &world_sizes[2], take_over, load_placements, finish, true},
+    {"load/take-over", &world_sizes[3], take_over, load_placements, finish, true},
+    {"load/take-over", &world_sizes[4], take_over, load_placements, finish, true},
+    {"load/take-over", &world_sizes[5], take_over, load_placements, finish, true},
+    {"load/take-over", &world_sizes[6], take_over, load_placements, finish, true},
 };
 
 struct bench_cases bench_load_cases(void) {
--- a/bench/case_report.c
+++ b/bench/case_report.c
@@ -53,6 +53,10 @@
     {"report/leader", &world_sizes[0], to_leader, report, finish, false},
     {"report/leader", &world_sizes[1], to_leader, report, finish, false},
     {"report/leader", &world_sizes[2], to_leader, report, finish, false},
+    {"report/leader", &world_sizes[3], to_leader, report, finish, false},
+    {"report/leader", &world_sizes[4], to_leader, report, finish, false},
+    {"report/leader", &world_sizes[5], to_leader, report, finish, false},
+    {"report/leader", &world_sizes[6], to_leader, report, finish, false},
     {"report/follower", &world_sizes[1], to_follower, report, finish, false},
 };
 
--- a/bench/case_round.c
+++ b/bench/case_round.c
@@ -36,9 +36,17 @@
     {"round/admit", &world_sizes[0], leader, round_only, finish, true},
     {"round/admit", &world_sizes[1], leader, round_only, finish, true},
     {"round/admit", &world_sizes[2], leader, round_only, finish, true},
+    {"round/admit", &world_sizes[3], leader, round_only, finish, true},
+    {"round/admit", &world_sizes[4], leader, round_only, finish, true},
+    {"round/admit", &world_sizes[5], leader, round_only, finish, true},
+    {"round/admit", &world_sizes[6], leader, round_only, finish, true},
     {"round/admit-and-plan", &world_sizes[0], leader, round_and_plan, finish, true},
     {"round/admit-and-plan", &world_sizes[1], leader, round_and_plan, finish, true},
     {"round/admit-and-plan", &world_sizes[2], leader, round_and_plan, finish, true},
+    {"round/admit-and-plan", &world_sizes[3], leader, round_and_plan, finish, true},
+    {"round/admit-and-plan", &world_sizes[4], leader, round_and_plan, finish, true},
+    {"round/admit-and-plan", &world_sizes[5], leader, round_and_plan, finish, true},
+    {"round/admit-and-plan", &world_sizes[6], leader, round_and_plan, finish, true},
 };
 
 struct bench_cases bench_round_cases(void) {
--- a/bench/world.c
+++ b/bench/world.c
@@ -8,11 +8,16 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* As the simulated deployments: machines of 8 GPUs, of which some seven are taken. */
+/* As the simulated deployments: machines of 8 GPUs, of which some seven are taken. The last four are the
+ * fleet with more machines, and work in proportion. */
 const struct world_size world_sizes[WORLD_SIZES] = {
     {"small", 3, 12, 6, 6, 100, 4, 14, 3, 1, 10, 30},
     {"grown", 7, 120, 60, 40, 600, 20, 14, 6, 1, 10, 30},
     {"fleet", 7, 600, 300, 120, 2000, 60, 14, 12, 4, 22, 42},
+    {"machines-1000", 7, 1000, 500, 200, 3000, 100, 14, 12, 4, 22, 42},
+    {"machines-2000", 7, 2000, 1000, 400, 6000, 200, 14, 12, 4, 22, 42},
+    {"machines-4000", 7, 4000, 2000, 800, 12000, 400, 14, 12, 4, 22, 42},
+    {"machines-8000", 7, 8000, 4000, 1600, 24000, 800, 14, 12, 4, 22, 42},
 };
 
 enum {
--- a/bench/world.h
+++ b/bench/world.h
@@ -15,8 +15,8 @@
     double report_s, lease_s, cancel_s;
 };
 
-enum { WORLD_SIZES = 3 };
-extern const struct world_size world_sizes[WORLD_SIZES]; /* small, grown, fleet */
+enum { WORLD_SIZES = 7 };
+extern const struct world_size world_sizes[WORLD_SIZES]; /* small, grown, fleet, 1,000 to 8,000 machines */
 
 enum { WORLD_TERM = 41 };
 
