--- a/include/amberpin/machines.h
+++ b/include/amberpin/machines.h
@@ -14,8 +14,8 @@
 void amb_machine_remove(struct amb_node *node, struct amb_machine *machine);
 /* Was the machine proved to be gone while this node led? That stays true, also once it leads no more. */
 bool amb_machine_was_removed(const struct amb_node *node, const char *name);
-/* Bytes that are kept of each machine that was removed. */
-size_t amb_removed_machine_bytes(void);
+/* Names of removed machines that are kept at most. */
+size_t amb_machines_removed_most(const struct amb_node *node);
 /* All out of the table: their names may come again. */
 void amb_machines_clear(struct amb_node *node);
 /* The names of those that were removed are forgotten. */
--- a/include/amberpin/memory.h
+++ b/include/amberpin/memory.h
@@ -22,7 +22,7 @@
 size_t amb_memory_answer(const struct amb_settings *settings);
 /* Bytes of a peer's message that is kept to be recognised when it comes again. */
 size_t amb_memory_peer_message(const struct amb_settings *settings);
-/* Names of machines that are gone which are kept at most, the latest. */
+/* Bytes for the names of machines that are gone, the latest of which are kept. */
 size_t amb_memory_removed_machines(const struct amb_settings *settings);
 /* Machines for which there is room: each with its place in the leader's table, its connection, and what other
  * nodes have said of it. */
--- a/lib/machines.c
+++ b/lib/machines.c
@@ -41,16 +41,16 @@
     free(machine);
 }
 
-size_t amb_removed_machine_bytes(void) {
+size_t amb_machines_removed_most(const struct amb_node *node) {
     enum { TABLE_BYTES = 32 }; /* of an allocation and of a place in the table */
-    return sizeof(struct amb_removed_machine) + TABLE_BYTES;
+    return amb_memory_removed_machines(&node->set) / (sizeof(struct amb_removed_machine) + TABLE_BYTES);
 }
 
 /* The longest gone is forgotten first. A late copy of its report would make it known again: as a machine that
  * nothing is recorded on, that can't be reached, and that is returned for it. */
 static void forget_longest_gone(struct amb_node *node) {
     struct amb_removed_machine *oldest = node->fleet.removed;
-    if (!oldest || HASH_COUNT(node->fleet.removed) < amb_memory_removed_machines(&node->set)) return;
+    if (!oldest || HASH_COUNT(node->fleet.removed) < amb_machines_removed_most(node)) return;
     if (!node->fleet.forgetting)
         amb_info("more than %u names of machines that are gone: the oldest are forgotten",
                  HASH_COUNT(node->fleet.removed));
--- a/lib/memory.c
+++ b/lib/memory.c
@@ -1,7 +1,6 @@
 /* The shares of a node's memory quota. */
 #include "amberpin/memory.h"
 
-#include "amberpin/machines.h"
 #include "amberpin/node.h"
 
 #include <stdlib.h>
@@ -71,7 +70,7 @@
 }
 
 size_t amb_memory_removed_machines(const struct amb_settings *settings) {
-    return share_of(settings, REMOVED_SHARE) / amb_removed_machine_bytes();
+    return share_of(settings, REMOVED_SHARE);
 }
 
 size_t amb_memory_machines(const struct amb_settings *settings) {
--- a/tests/test_fleet_limits.c
+++ b/tests/test_fleet_limits.c
@@ -1,7 +1,6 @@
 /* What grows with the fleet has a bound that holds for thousands of machines, and nothing is lost at it
  * (docs/limits.md). */
 #include "amberpin/capacity.h"
-#include "amberpin/memory.h"
 #include "amberpin/orders.h"
 #include "check.h"
 #include "fake_clock.h"
@@ -109,7 +108,7 @@
 
 static void the_longest_gone_are_forgotten(void **state) {
     (void)state;
-    size_t most = amb_memory_removed_machines(&node->set);
+    size_t most = amb_machines_removed_most(node);
     char name[AMB_NAME];
     assert_in_range(most, 1000, 100000);
     for (uint32_t i = 0; i < most + 10; i++) {
