One guard of the term, one mark of a machine that is being returned; the stand-in's copies folded

Behaviour stays as it is. A machine whose return is on record was marked twice (return_record.c, duty_orders.c): amb_machine_returning. A field of the winner trees that nothing read is gone. The benchmark of ticks is named for what it times.

--- a/bench/case_fleet.c
+++ b/bench/case_tick.c
@@ -31,6 +31,6 @@
     {"tick/records", &world_sizes[6], leader, pump_records, finish, false},
 };
 
-struct bench_cases bench_fleet_cases(void) {
+struct bench_cases bench_tick_cases(void) {
     return (struct bench_cases){cases, sizeof cases / sizeof *cases};
 }
--- a/include/amberpin/machines.h
+++ b/include/amberpin/machines.h
@@ -22,6 +22,8 @@
 void amb_machines_forget_removed(struct amb_node *node);
 
 void amb_machine_state(struct amb_machine *machine, enum amb_machine_state to, const char *cause);
+/* A return of it is on record: it is never used again. */
+void amb_machine_returning(struct amb_machine *machine, const char *cause);
 /* The zone, when it was not known yet; the tasks that are on record there count in it from now on. */
 void amb_machine_learn_zone(struct amb_machine *machine, int zone);
 /* Its type and zone by name, as far as they were not known yet. One that lies beyond what is kept of types or
--- a/include/amberpin/record_call.h
+++ b/include/amberpin/record_call.h
@@ -17,8 +17,6 @@
 struct amb_block *amb_record_call_block(struct amb_record_call *call, struct amb_node **node);
 struct amb_job *amb_record_call_job(struct amb_record_call *call, struct amb_node **node);
 
-/* No write of ours is carried out once another leads. */
-void amb_record_guard_term(struct amb_txn *txn, const struct amb_node *node);
 /* A guard did not hold: resigns if it was that one. */
 void amb_record_write_refused(struct amb_node *node, const cbor_item_t *body);
 
--- /dev/null
+++ b/include/amberpin/term_guard.h
@@ -0,0 +1,15 @@
+/* The leader's key in the state service, whose stamp is the leader's term, and the guard that ties a write to
+ * it. */
+#ifndef AMBERPIN_TERM_GUARD_H
+#define AMBERPIN_TERM_GUARD_H
+
+#include "amberpin/store.h"
+
+#define AMB_LEADER_KEY "a/leader"
+
+struct amb_node;
+
+/* For whatever a leader writes: it is not carried out once another leads. */
+void amb_guard_term(struct amb_txn *txn, const struct amb_node *node);
+
+#endif
--- a/lib/change_feed.c
+++ b/lib/change_feed.c
@@ -3,6 +3,7 @@
 #include "amberpin/change_page.h"
 #include "amberpin/log.h"
 #include "amberpin/node.h"
+#include "amberpin/term_guard.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,14 +11,13 @@
 
 static const char PREFIX[] = "a/";
 static const char JOB_PREFIX[] = "a/job/";
-static const char LEADER_KEY[] = "a/leader";
 static const char FORMAT_KEY[] = "a/format";
 static const char DEPUTY_PREFIX[] = "a/deputy/";
 static const char DUTY_PREFIX[] = "a/duty";
 static const char ORDER_PREFIX[] = "a/order/";
 
 static void apply_item(struct amb_node *node, const char *key, const cbor_item_t *value, uint64_t stamp) {
-    if (!strcmp(key, LEADER_KEY))
+    if (!strcmp(key, AMB_LEADER_KEY))
         amb_election_key(node, value, stamp);
     else if (!strcmp(key, FORMAT_KEY))
         amb_format_key(node, value);
@@ -135,7 +135,7 @@
             !amb_cbor_uint(amb_cbor_get(pair, "stamp"), &stamp))
             continue;
         apply_item(node, key, amb_cbor_get(pair, "value"), stamp);
-        if (!strcmp(key, LEADER_KEY)) jobs->leader_listed = true;
+        if (!strcmp(key, AMB_LEADER_KEY)) jobs->leader_listed = true;
         snprintf(jobs->list_after, sizeof jobs->list_after, "%s", key);
     }
     bool more = false;
--- a/lib/deputy.c
+++ b/lib/deputy.c
@@ -6,12 +6,11 @@
  * that in time. */
 #include "amberpin/log.h"
 #include "amberpin/node.h"
+#include "amberpin/term_guard.h"
 
 #include <stdio.h>
 #include <string.h>
 
-static const char LEADER_KEY[] = "a/leader";
-
 static void set_state(struct amb_node *node, enum amb_deputy_state to, const char *cause) {
     static const char *const names[] = {"off", "asking", "active"};
     struct amb_deputy *deputy = &node->deputy;
@@ -56,7 +55,7 @@
     struct amb_txn txn = {0};
     struct amb_buf value = {0};
     snprintf(key, sizeof key, "a/deputy/%s", node->set.member);
-    amb_txn_guard(&txn, LEADER_KEY, deputy->term);
+    amb_txn_guard(&txn, AMB_LEADER_KEY, deputy->term);
     amb_w_map(&value, 2);
     amb_w_str(&value, "zone");
     amb_w_str(&value, node->set.zone);
--- a/lib/duty_orders.c
+++ b/lib/duty_orders.c
@@ -6,13 +6,12 @@
 #include "amberpin/machine_returns.h"
 #include "amberpin/node.h"
 #include "amberpin/rental_requests.h"
+#include "amberpin/term_guard.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-static const char LEADER_KEY[] = "a/leader";
-
 /* A write of an order under way; whoever gets its answer frees it. */
 struct order_call {
     struct amb_node *node;
@@ -33,7 +32,7 @@
     snprintf(call->id, sizeof call->id, "%s", id);
     amb_duty_order_key(key, duty, id);
     amb_duty_encode_order(&value, &order, work);
-    amb_txn_guard(&txn, LEADER_KEY, node->election.term);
+    amb_guard_term(&txn, node);
     amb_txn_guard(&txn, key, 0);
     amb_txn_put(&txn, key, &value, 0);
     amb_buf_free(&value);
@@ -133,8 +132,8 @@
 
 /* A machine of a return order is never used again, whatever becomes of the order. */
 static void mark_returned(struct amb_machine *machine, const char *cause) {
-    machine->release_wanted = machine->return_ordered = true;
-    amb_machine_state(machine, AMB_MACHINE_RELEASING, cause);
+    machine->return_ordered = true;
+    amb_machine_returning(machine, cause);
 }
 
 static void return_changed(struct amb_node *node, const struct amb_duty_order_record *order,
--- a/lib/duty_wiring.c
+++ b/lib/duty_wiring.c
@@ -4,14 +4,13 @@
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 #include "amberpin/rental_requests.h"
+#include "amberpin/term_guard.h"
 
 #include <jansson.h>
 #include <math.h>
 #include <stdio.h>
 #include <string.h>
 
-static const char LEADER_KEY[] = "a/leader";
-
 /* Ticks of the service within a backoff. */
 enum { TICKS_PER_BACKOFF = 4 };
 
@@ -205,7 +204,7 @@
     struct amb_txn txn = {0};
     struct amb_buf value = {0};
     amb_duty_encode_mode(&value, mode);
-    amb_txn_guard(&txn, LEADER_KEY, node->election.term);
+    amb_guard_term(&txn, node);
     amb_txn_guard(&txn, AMB_DUTY_MODE_KEY, duties->mode_stamp);
     amb_txn_put(&txn, AMB_DUTY_MODE_KEY, &value, 0);
     amb_buf_free(&value);
--- a/lib/election.c
+++ b/lib/election.c
@@ -2,13 +2,12 @@
 
 #include "amberpin/log.h"
 #include "amberpin/node.h"
+#include "amberpin/term_guard.h"
 #include "amberpin/trace.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-static const char LEADER_KEY[] = "a/leader";
-
 /* Of the time that a cancellation leaves after a worker's lease, what a leader without news may use. */
 static const double FENCE_SHARE = 0.95;
 /* Lease checks and renewals: ticks within a lease. */
@@ -167,13 +166,13 @@
                          struct election_call *call) {
     struct amb_txn t = {0};
     struct amb_buf v = {0};
-    amb_txn_guard(&t, LEADER_KEY, action->expect);
+    amb_txn_guard(&t, AMB_LEADER_KEY, action->expect);
     amb_w_map(&v, 2);
     amb_w_str(&v, "member");
     amb_w_str(&v, n->set.member);
     amb_w_str(&v, "nonce");
     amb_w_uint(&v, action->nonce);
-    amb_txn_put(&t, LEADER_KEY, &v, action->lease);
+    amb_txn_put(&t, AMB_LEADER_KEY, &v, action->lease);
     amb_buf_free(&v);
     amb_store_commit(&n->store, &t, AMB_URGENT_LEASE, claim_answered, call);
 }
@@ -196,7 +195,7 @@
         break;
     case AMB_ELECTION_COMMIT_CLAIM: commit_claim(n, action, call_for(n, action)); break;
     case AMB_ELECTION_READ_KEY:
-        amb_store_get(store, LEADER_KEY, AMB_URGENT_LEASE, key_read, call_for(n, action));
+        amb_store_get(store, AMB_LEADER_KEY, AMB_URGENT_LEASE, key_read, call_for(n, action));
         break;
     case AMB_ELECTION_EXTEND_LEASE:
         amb_store_extend(store, action->lease, lease_renewed, call_for(n, action));
--- a/lib/formats.c
+++ b/lib/formats.c
@@ -4,9 +4,9 @@
 
 #include "amberpin/log.h"
 #include "amberpin/node.h"
+#include "amberpin/term_guard.h"
 
 static const char FORMAT_KEY[] = "a/format";
-static const char LEADER_KEY[] = "a/leader";
 
 enum amb_format amb_format_spoken(const struct amb_node *node) {
     return node->formats.held_at ? node->formats.held_at : AMB_FORMAT_LATEST;
@@ -74,7 +74,7 @@
     amb_w_map(&value, 1);
     amb_w_str(&value, "format");
     amb_w_uint(&value, AMB_FORMAT_LATEST);
-    amb_txn_guard(&txn, LEADER_KEY, node->election.term);
+    amb_guard_term(&txn, node);
     amb_txn_guard(&txn, FORMAT_KEY, 0);
     amb_txn_put(&txn, FORMAT_KEY, &value, 0);
     amb_buf_free(&value);
--- a/lib/machines.c
+++ b/lib/machines.c
@@ -100,6 +100,11 @@
     machine->state_at = amb_now();
 }
 
+void amb_machine_returning(struct amb_machine *machine, const char *cause) {
+    machine->release_wanted = true;
+    amb_machine_state(machine, AMB_MACHINE_RELEASING, cause);
+}
+
 void amb_machine_learn_zone(struct amb_machine *machine, int zone) {
     if (machine->zone >= 0 || zone < 0) return;
     machine->zone = zone;
--- a/lib/record_call.c
+++ b/lib/record_call.c
@@ -1,12 +1,11 @@
 #include "amberpin/record_call.h"
 
 #include "amberpin/node.h"
+#include "amberpin/term_guard.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-static const char LEADER_KEY[] = "a/leader";
-
 struct amb_record_call {
     struct amb_node *node;
     uint64_t term;
@@ -50,13 +49,9 @@
     return block;
 }
 
-void amb_record_guard_term(struct amb_txn *txn, const struct amb_node *node) {
-    amb_txn_guard(txn, LEADER_KEY, node->election.term);
-}
-
 void amb_record_write_refused(struct amb_node *node, const cbor_item_t *body) {
     const cbor_item_t *failed = amb_cbor_get(body, "failed");
     for (size_t i = 0; i < amb_cbor_len(failed); i++)
-        if (amb_cbor_eq(amb_cbor_at(failed, i), LEADER_KEY))
+        if (amb_cbor_eq(amb_cbor_at(failed, i), AMB_LEADER_KEY))
             amb_election_saw_term(node, node->election.term + 1, "a refused write");
 }
--- a/lib/record_end.c
+++ b/lib/record_end.c
@@ -3,6 +3,7 @@
 
 #include "amberpin/node.h"
 #include "amberpin/record_call.h"
+#include "amberpin/term_guard.h"
 
 static void stamp_read(void *arg, int status, const cbor_item_t *body) {
     struct amb_node *node;
@@ -43,7 +44,7 @@
         return;
     }
     struct amb_txn txn = {0};
-    amb_record_guard_term(&txn, node);
+    amb_guard_term(&txn, node);
     amb_txn_guard(&txn, key, block->stamp);
     amb_txn_remove(&txn, key);
     amb_store_commit(&node->store, &txn, AMB_URGENT_READ, removed, amb_record_call_new(node, block));
@@ -68,7 +69,7 @@
     char key[AMB_NAME + 32];
     struct amb_txn txn = {0};
     struct amb_buf value = {0};
-    amb_record_guard_term(&txn, node);
+    amb_guard_term(&txn, node);
     amb_job_key(key, sizeof key, job->ref);
     amb_txn_guard(&txn, key, job->stamp);
     amb_job_value(&value, job, AMB_JOB_DONE);
--- a/lib/record_load.c
+++ b/lib/record_load.c
@@ -2,6 +2,7 @@
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 #include "amberpin/record_call.h"
+#include "amberpin/term_guard.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -17,7 +18,7 @@
 /* Of a job that is done or whose tasks are gone: its leader was lost before it had removed this. */
 static void remove_leftover(struct amb_node *node, const char *key, uint64_t stamp) {
     struct amb_txn txn = {0};
-    amb_record_guard_term(&txn, node);
+    amb_guard_term(&txn, node);
     amb_txn_guard(&txn, key, stamp);
     amb_txn_remove(&txn, key);
     amb_store_commit(&node->store, &txn, AMB_URGENT_READ, NULL, NULL);
--- a/lib/record_write.c
+++ b/lib/record_write.c
@@ -5,6 +5,7 @@
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 #include "amberpin/record_call.h"
+#include "amberpin/term_guard.h"
 
 #include <stdio.h>
 
@@ -99,7 +100,7 @@
     struct amb_txn txn = {0};
     amb_record_block_key(key, block);
     amb_job_key(job_key, sizeof job_key, block->job->ref);
-    amb_record_guard_term(&txn, node);
+    amb_guard_term(&txn, node);
     amb_txn_guard(&txn, job_key, block->job_stamp);
     amb_txn_guard(&txn, key, block->stamp);
     amb_txn_put(&txn, key, &block->value, 0);
--- a/lib/rental_requests.c
+++ b/lib/rental_requests.c
@@ -4,6 +4,7 @@
 #include "amberpin/events.h"
 #include "amberpin/log.h"
 #include "amberpin/node.h"
+#include "amberpin/term_guard.h"
 
 #include <math.h>
 #include <stdio.h>
@@ -11,7 +12,6 @@
 #include <string.h>
 
 static const char PREFIX[] = "b/r/";
-static const char LEADER_KEY[] = "a/leader";
 enum { RENT_MAX = 50 };
 
 /* ---- the list of requests ---- */
@@ -131,7 +131,7 @@
     amb_w_bool(&value, request->spot);
     amb_w_str(&value, "count");
     amb_w_uint(&value, request->count);
-    amb_txn_guard(&txn, LEADER_KEY, node->election.term);
+    amb_guard_term(&txn, node);
     amb_txn_put(&txn, key, &value, 0);
     amb_buf_free(&value);
     amb_store_commit(&node->store, &txn, AMB_URGENT_PLACE, recorded, request_call(node, request));
@@ -236,7 +236,7 @@
     char key[80];
     struct amb_txn txn = {0};
     snprintf(key, sizeof key, "%s%s", PREFIX, request->id);
-    amb_txn_guard(&txn, LEADER_KEY, node->election.term);
+    amb_guard_term(&txn, node);
     amb_txn_remove(&txn, key);
     amb_store_commit(&node->store, &txn, AMB_URGENT_READ, unrecorded, request_call(node, request));
 }
--- a/lib/return_record.c
+++ b/lib/return_record.c
@@ -3,12 +3,12 @@
 #include "amberpin/cloud_calls.h"
 #include "amberpin/log.h"
 #include "amberpin/node.h"
+#include "amberpin/term_guard.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 static const char KEY[] = "b/returns";
-static const char LEADER_KEY[] = "a/leader";
 
 enum {
     FORM = 1,            /* of the records that this version writes */
@@ -80,7 +80,7 @@
     struct amb_txn txn = {0};
     struct amb_buf value = {0};
     put_value(&value, &node->rental);
-    amb_txn_guard(&txn, LEADER_KEY, node->election.term);
+    amb_guard_term(&txn, node);
     amb_txn_guard(&txn, KEY, node->rental.return_record.stamp);
     amb_txn_put(&txn, KEY, &value, 0);
     amb_buf_free(&value);
@@ -135,10 +135,7 @@
 
 /* ---- taking over ---- */
 
-static void mark_returned(struct amb_machine *machine) {
-    machine->release_wanted = true;
-    amb_machine_state(machine, AMB_MACHINE_RELEASING, "an earlier leader is returning it");
-}
+static const char CAUSE[] = "an earlier leader is returning it";
 
 /* With duties in use the record is of before, and all calls for it had been answered when the mode was
  * written. */
@@ -154,7 +151,7 @@
         if (!amb_cbor_str(amb_cbor_at(machines, i), name, AMB_NAME)) continue;
         rental->nrelease++;
         struct amb_machine *machine = amb_machine_get(node, name, false);
-        if (machine) mark_returned(machine);
+        if (machine) amb_machine_returning(machine, CAUSE);
     }
     if (rental->nrelease) set_state(node, AMB_RETURN_RECORDED, "written by an earlier leader");
 }
@@ -162,5 +159,5 @@
 void amb_return_record_machine_known(struct amb_node *node, struct amb_machine *machine) {
     const struct amb_rental *rental = &node->rental;
     for (uint32_t i = 0; i < rental->nrelease; i++)
-        if (!strcmp(rental->release_names[i], machine->name)) mark_returned(machine);
+        if (!strcmp(rental->release_names[i], machine->name)) amb_machine_returning(machine, CAUSE);
 }
--- a/lib/slot_ranking.c
+++ b/lib/slot_ranking.c
@@ -12,7 +12,7 @@
 struct winner_tree {
     double *scores;
     uint32_t *winners;
-    uint32_t capacity, count; /* capacity: a power of two */
+    uint32_t capacity; /* a power of two */
 };
 
 struct shape { /* all that a score depends on beside the slot; zones are chosen when it is asked for */
--- a/tests/standin/cloud.c
+++ b/tests/standin/cloud.c
@@ -13,6 +13,12 @@
     sim_report(machine);
 }
 
+static int machines_there(void) {
+    int there = 0;
+    for (int i = 0; i < world.machine_count; i++) there += world.machines[i].exists;
+    return there;
+}
+
 void sim_machine_new(int zone, bool spot, amb_ms boots) {
     struct sim_machine *machine = &world.machines[world.machine_count];
     memset(machine, 0, sizeof *machine);
@@ -23,8 +29,7 @@
     machine->created = world.now;
     machine->node = world.machine_count % world.size->nodes;
     world.machine_count++;
-    int there = 0;
-    for (int i = 0; i < world.machine_count; i++) there += world.machines[i].exists;
+    int there = machines_there();
     if (there > world.result.machines_most) world.result.machines_most = there;
     amb_timer_in(&machine->report, boots, boot, machine);
 }
@@ -90,10 +95,9 @@
     amb_cbor_bool(amb_cbor_get(body, "driftwood"), &spot);
     int zone = amb_cbor_eq(amb_cbor_get(body, "yard"), "b");
     cbor_decref(&body);
-    int k = 0, there = 0;
+    int k = 0;
     while (k < world.cloud.rental_count && strcmp(world.cloud.rentals[k].name, id)) k++;
-    for (int i = 0; i < world.machine_count; i++) there += world.machines[i].exists;
-    int room = world.size->machines - there;
+    int room = world.size->machines - machines_there();
     if (room > SIM_MACHINES - world.machine_count) room = SIM_MACHINES - world.machine_count;
     if (k == world.cloud.rental_count) {
         if (sim_fault_active(SIM_NO_CAPACITY, -1) || room <= 0 || world.cloud.rental_count == SIM_RENTALS) {
--- a/tests/standin/day.c
+++ b/tests/standin/day.c
@@ -15,11 +15,6 @@
                       sim_grown = {7, 120, 120, 40, 3, 1000, 10000, 30000, 200, 20, 3},
                       sim_fleet = {7, 600, 700, 60, 12, 4000, 22000, 42000, 700, 70, 6},
                       sim_slow = {3, 12, 16, 12, 3, 12000, 60000, 120000, 200, 20, 3};
-/* A quarter of the machines that could be had is in use, so that no team is pressed against its limit: there
- * what is on its way to start counts for the leader and not for the check of what waits. */
-const struct sim_size sim_large_5 = {5, 16000, 6000, 60, 12, 4000, 22000, 42000, 800, 100, 18},
-                      sim_large_7 = {7, 16000, 6000, 60, 12, 4000, 22000, 42000, 800, 100, 18},
-                      sim_largest = {7, 32000, 12000, 60, 12, 4000, 22000, 42000, 1600, 200, 36};
 
 const struct sim_pace sim_pace = {.list_lag = 5000, .boot = 8000, .fetch = 2000};
 
--- a/tests/standin/large_day.c
+++ b/tests/standin/large_day.c
@@ -24,16 +24,21 @@
 enum { DAY_MS = 600000, MEMORY_MB = 512, BINS = 4000, OVERTIME_MS = 600000 };
 static const double LONGEST_TURN_MS = 2000;
 
+/* A quarter of the machines that could be had is in use, so that no team is pressed against its limit: there
+ * what is on its way to start counts for the leader and not for the check of what waits. */
 static const struct sim_size large_1000 = {5, 4000, 1500, 60, 12, 4000, 22000, 42000, 800, 100, 18},
-                             large_2000 = {5, 8000, 3000, 60, 12, 4000, 22000, 42000, 800, 100, 18};
+                             large_2000 = {5, 8000, 3000, 60, 12, 4000, 22000, 42000, 800, 100, 18},
+                             large_5 = {5, 16000, 6000, 60, 12, 4000, 22000, 42000, 800, 100, 18},
+                             large_7 = {7, 16000, 6000, 60, 12, 4000, 22000, 42000, 800, 100, 18},
+                             largest = {7, 32000, 12000, 60, 12, 4000, 22000, 42000, 1600, 200, 36};
 static const struct {
     const char *name;
     const struct sim_size *size;
 } sizes[] = {{"1000", &large_1000},
              {"2000", &large_2000},
-             {"large-5", &sim_large_5},
-             {"large-7", &sim_large_7},
-             {"largest", &sim_largest}};
+             {"large-5", &large_5},
+             {"large-7", &large_7},
+             {"largest", &largest}};
 
 /* ---- turns ---- */
 
@@ -166,7 +171,7 @@
 }
 
 static bool read_options(int argc, char **argv, struct options *options) {
-    *options = (struct options){.size = &sim_large_5, .processes = 1, .length = DAY_MS};
+    *options = (struct options){.size = &large_5, .processes = 1, .length = DAY_MS};
     int option;
     while ((option = getopt(argc, argv, "s:j:t:q")) != -1) {
         if (option == 'j') options->processes = (int)strtol(optarg, NULL, 10);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -18,9 +18,6 @@
     double rps, writes, cloud; /* calls a second: state service, its changes, cloud */
 };
 extern const struct sim_size sim_small, sim_grown, sim_fleet, sim_slow;
-/* Beyond the usual room: for programs that link the stand-in with SIM_CAPACITY. At most so many machines in
- * use. */
-extern const struct sim_size sim_large_5, sim_large_7, sim_largest;
 
 enum sim_fault_kind {
     SIM_KILL,            /* node dies, comes back after a while */
--- a/tests/test_large_fleet.c
+++ b/tests/test_large_fleet.c
@@ -5,7 +5,7 @@
 
 enum { DAY_MS = 40000, OVERTIME_MS = 300000, MEMORY_MB = 512, MACHINES = 4000 };
 
-/* As sim_large_7, with all of its work in a short day. */
+/* As large-7 of large_day, with all of its work in a short day. */
 static const struct sim_size crowded = {7, 16000, 4200, 60, 12, 4000, 22000, 42000, 2000, 400, 40};
 
 static void everything_within_a_minute(void **state) {
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -14,11 +14,11 @@
     (void)state;
     /* type 0: 8 GPUs; machines: 0 empty in A, 1 half full in A, 2 spot in B, 3 in B with the image */
     static const struct amb_slot slots[] = {
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 0, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{32, 4, 250}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 4, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, B, true, false, true, 1, NULL, 0, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{8, 1, 60}, {8, 1, 60}, 8, 1, B, false, true, true, 0, NULL, 7, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, false, 0, NULL, 0, -1, 0, 0, false, {0, 0, 0}, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 0, -1, 0, 0, .claimed = false},
+        {{32, 4, 250}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 4, -1, 0, 0, .claimed = false},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, B, true, false, true, 1, NULL, 0, -1, 0, 0, .claimed = false},
+        {{8, 1, 60}, {8, 1, 60}, 8, 1, B, false, true, true, 0, NULL, 7, -1, 0, 0, .claimed = false},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, false, 0, NULL, 0, -1, 0, 0, .claimed = false},
     };
     static const uint32_t none[AMB_ZONES] = {0}, two_in_a[AMB_ZONES] = {2, 0};
     static const struct {
@@ -66,12 +66,12 @@
     (void)state;
     static const uint32_t none[AMB_ZONES] = {0};
     static const struct amb_slot slots[] = {
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, true, true, true, 0, NULL, 0, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 0, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{16, 4, 250}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 4, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{4, 0, 100}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 8, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{64, 0, 500}, {0, 0, 0}, 0, 0, B, false, true, true, 0, NULL, 0, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{64, 0, 500}, {0, 0, 0}, 0, 0, B, true, true, true, 0, NULL, 0, -1, 0, 0, false, {0, 0, 0}, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, true, true, true, 0, NULL, 0, -1, 0, 0, .claimed = false},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 0, -1, 0, 0, .claimed = false},
+        {{16, 4, 250}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 4, -1, 0, 0, .claimed = false},
+        {{4, 0, 100}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 8, -1, 0, 0, .claimed = false},
+        {{64, 0, 500}, {0, 0, 0}, 0, 0, B, false, true, true, 0, NULL, 0, -1, 0, 0, .claimed = false},
+        {{64, 0, 500}, {0, 0, 0}, 0, 0, B, true, true, true, 0, NULL, 0, -1, 0, 0, .claimed = false},
     };
     static const struct {
         const char *what;
@@ -98,8 +98,8 @@
     (void)state;
     static const uint32_t none[AMB_ZONES] = {0};
     static const struct amb_slot slots[] = {
-        {{64, 2, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 6, -1, 0, 0, false, {0, 0, 0}, 0},
-        {{64, 4, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 2, -1, 4, 0, false, {0, 0, 0}, 0},
+        {{64, 2, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 6, -1, 0, 0, .claimed = false},
+        {{64, 4, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 2, -1, 4, 0, .claimed = false},
     };
     struct amb_wish w = {{8, 2, 40}, 1, -1, false, none, 0, true, AMB_HIGH, false, false};
     assert_int_equal(amb_place_pick(&w, slots, ROWS(slots), false), 1);
@@ -113,24 +113,8 @@
     (void)state;
     static const uint32_t none[AMB_ZONES] = {0};
     static const struct amb_slot slots[] = {
-        {{64, 8, 500},
-         {0, 0, 0},
-         8,
-         0,
-         A,
-         false,
-         true,
-         true,
-         0,
-         NULL,
-         0,
-         AMB_NORMAL,
-         0,
-         0,
-         false,
-         {0, 0, 0},
-         0},
-        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 0, -1, 0, 0, false, {0, 0, 0}, 0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 0, AMB_NORMAL, 0, 0, .claimed = false},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 0, -1, 0, 0, .claimed = false},
     };
     static const struct {
         enum amb_priority priority;
@@ -207,23 +191,7 @@
     (void)state;
     static const uint32_t none[AMB_ZONES] = {0};
     static const struct amb_slot slots[] = {
-        {{64, 8, 500},
-         {0, 0, 0},
-         8,
-         0,
-         A,
-         false,
-         true,
-         true,
-         0,
-         NULL,
-         0,
-         AMB_NORMAL,
-         0,
-         0,
-         true,
-         {0, 0, 0},
-         0},
+        {{64, 8, 500}, {0, 0, 0}, 8, 0, A, false, true, true, 0, NULL, 0, AMB_NORMAL, 0, 0, .claimed = true},
     };
     static const struct {
         const char *what;
