--- a/bench/case_tick.c
+++ b/bench/case_tick.c
@@ -14,6 +14,17 @@
     amb_fleet_tick(input, amb_now());
 }
 
+static void *leader_with_zone_recovery(const struct world_size *size) {
+    struct amb_node *node = world_leader(size);
+    node->opt.zone_recovery = 1;
+    amb_zone_recovery_init(node);
+    return node;
+}
+
+static void judge_zones(void *input) {
+    amb_zones_tick(input, amb_now());
+}
+
 static void pump_records(void *input) {
     amb_record_pump(input);
 }
@@ -24,6 +35,12 @@
     {"tick/machines", &world_sizes[4], leader, look_at_machines, finish, false},
     {"tick/machines", &world_sizes[5], leader, look_at_machines, finish, false},
     {"tick/machines", &world_sizes[6], leader, look_at_machines, finish, false},
+    {"tick/zones", &world_sizes[2], leader, judge_zones, finish, false},
+    {"tick/zones", &world_sizes[5], leader, judge_zones, finish, false},
+    {"tick/zone-recovery", &world_sizes[1], leader_with_zone_recovery, judge_zones, finish, false},
+    {"tick/zone-recovery", &world_sizes[2], leader_with_zone_recovery, judge_zones, finish, false},
+    {"tick/zone-recovery", &world_sizes[3], leader_with_zone_recovery, judge_zones, finish, false},
+    {"tick/zone-recovery", &world_sizes[5], leader_with_zone_recovery, judge_zones, finish, false},
     {"tick/records", &world_sizes[2], leader, pump_records, finish, false},
     {"tick/records", &world_sizes[3], leader, pump_records, finish, false},
     {"tick/records", &world_sizes[4], leader, pump_records, finish, false},
--- a/bench/cases.h
+++ b/bench/cases.h
@@ -26,6 +26,6 @@
 struct bench_cases bench_submit_cases(void);    /* a submission, from its body to the answer */
 struct bench_cases bench_follow_cases(void);    /* news of the state service, from the page's bytes */
 struct bench_cases bench_load_cases(void);      /* start of a node, take-over of the lead */
-struct bench_cases bench_tick_cases(void);     /* a leader's ticks */
+struct bench_cases bench_tick_cases(void);      /* a leader's ticks */
 
 #endif
--- a/include/amberpin/fleet.h
+++ b/include/amberpin/fleet.h
@@ -13,6 +13,7 @@
     struct amb_machine *all;              /* by name (machines.h) */
     struct amb_removed_machine *removed;  /* names that are never used again, the latest (machines.c) */
     bool forgetting;                      /* there were more than are kept */
+    uint32_t numbered;                    /* machines that were ever added */
     uint64_t reports_read;                /* tells the tasks that a report lists from the rest (reports.c) */
     enum amb_zone_reach reach[AMB_ZONES]; /* (zones.h) */
     amb_ms out_of_reach_at[AMB_ZONES];    /* when the zone was last not reached; 0: never */
--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -210,7 +210,8 @@
     amb_ms finish_retry_at;
     uint32_t type_mask;
     bool type_mask_known;
-    amb_ms image_since; /* since when it waits for room where its image is; 0: it does not */
+    amb_ms image_since;    /* since when it waits for room where its image is; 0: it does not */
+    uint8_t recovery_step; /* at which it has its turn in this round (zone_recovery.h) */
 };
 
 enum amb_machine_state {
@@ -223,6 +224,7 @@
 
 struct amb_machine {
     char name[AMB_NAME], addr[AMB_NAME];
+    uint32_t number; /* of this machine only, while this node runs */
     enum amb_machine_state state;
     int type, zone; /* places in the catalog and the zone table; -1: unknown */
     bool spot, token_shown, listed, release_wanted;
@@ -243,6 +245,7 @@
     amb_ms notice_until; /* the cloud takes it then; 0: no notice */
     uint32_t faults, ntasks, good;
     struct amb_res used;
+    struct amb_res reserved; /* of what is free: for replicas that return (zone_recovery.h) */
     struct amb_task *tasks;
     struct amb_held *held;
     bool images_changed;           /* since the other nodes were told */
--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -22,6 +22,7 @@
 #include "amberpin/store.h"
 #include "amberpin/tasks.h"
 #include "amberpin/worker_api.h"
+#include "amberpin/zone_recovery.h"
 
 /* ---- controller: wires them; the leader's round ---- */
 
@@ -76,6 +77,7 @@
     struct amb_peers peers;
     struct amb_formats formats;
     struct amb_duties duties;
+    struct amb_zone_recovery zone_recovery;
     struct amb_controller ctl;
     struct amb_server *front, *side;
     amb_event_handler on_event;
--- a/include/amberpin/options.h
+++ b/include/amberpin/options.h
@@ -2,6 +2,8 @@
 #ifndef AMBERPIN_OPTIONS_H
 #define AMBERPIN_OPTIONS_H
 
+#include "amberpin/zone_recovery/settings.h"
+
 #include <stdbool.h>
 #include <stddef.h>
 
@@ -17,6 +19,11 @@
     double duty_lease;     /* lease of a member of these, as leader_ttl is counted */
     double fleet_machines; /* machines that the service is to have at most; 0: not stated */
     char duty_names[AMB_DUTY_LIST]; /* duties that this node may hold */
+    double zone_recovery;           /* 1: zones that were lost come back in steps and in order */
+    /* How long a returning zone's machines have to answer before batch work starts there, how long at most,
+     * and how long without a loss until one is forgotten; shares of the workers' lease. */
+    double zone_steady, zone_steady_longest, zone_loss_forgotten;
+    char zone_recovery_order[AMB_RECOVERY_LIST]; /* classes that come back first */
 };
 
 void amb_options_default(struct amb_options *o);
--- a/include/amberpin/place.h
+++ b/include/amberpin/place.h
@@ -20,7 +20,8 @@
     bool claimed;                /* by a gang that waits for the room: no batch work meanwhile */
     struct amb_res
         batch; /* of its room, what batch work took when the slot was made: no more can be had of it */
-    uint64_t marked_in; /* the marking that has_image and late are of (round.h) */
+    uint64_t marked_in;      /* the marking that has_image and late are of (round.h) */
+    struct amb_res reserved; /* of its room, for tasks that last: batch work leaves it alone */
 };
 
 struct amb_wish { /* what one task needs */
@@ -32,8 +33,9 @@
     uint32_t zone_most;        /* at most so many in one zone; 0: any number */
     bool lasting;              /* runs until it is cancelled */
     enum amb_priority priority;
-    bool patient;  /* nobody waits for its start */
-    bool can_wait; /* and it will be done in time all the same */
+    bool patient;          /* nobody waits for its start */
+    bool can_wait;         /* and it will be done in time all the same */
+    uint32_t zones_barred; /* no task at all in these, as a mask */
 };
 
 /* What is free on it; with soon, what is about to be, too. */
--- a/include/amberpin/round.h
+++ b/include/amberpin/round.h
@@ -21,6 +21,7 @@
     uint32_t njobs;
     struct amb_line lines[AMB_TEAMS];
     bool urgent_pass;
+    uint8_t recovery_pass; /* jobs of later steps of the order of return have no turn */
     bool by_gpus;
     struct amb_slot_marking marking; /* what slots are marked for, each when it is looked at */
     uint64_t marking_serial;
@@ -48,6 +49,8 @@
 void amb_round_wish(struct amb_round *r, struct amb_job *j, struct amb_wish *w);
 /* From now on marks say where the image is, and what fetching it elsewhere means for a start in time (or,
  * when nobody waits for its start, takes of what the task runs for). */
+/* Batch work leaves the task this room on the slot's machine until the next plan. */
+void amb_round_reserve(struct amb_slot *slot, const struct amb_spec *spec);
 void amb_round_mark(struct amb_round *r, const struct amb_spec *spec, const char *image);
 /* From now on they say that any room will do. */
 void amb_round_mark_any(struct amb_round *r);
--- /dev/null
+++ b/include/amberpin/zone_recovery/settings.h
@@ -0,0 +1,32 @@
+/* Settings of zone recovery, and the check that they can work together. */
+#ifndef AMBERPIN_ZONE_RECOVERY_SETTINGS_H
+#define AMBERPIN_ZONE_RECOVERY_SETTINGS_H
+
+#include "amberpin/util.h"
+
+enum { AMB_RECOVERY_LIST = 256 }; /* bytes of a list of classes, with the terminating zero */
+
+struct amb_zone_settings {
+    amb_ms report_period;  /* of the workers */
+    amb_ms steady;         /* a returning zone is healthy once its machines have answered for so long; doubles
+                              with each loss of late */
+    amb_ms steady_longest; /* but is never longer than this */
+    amb_ms loss_forgotten; /* one loss counts no more for each such time in which the zone was not lost */
+};
+
+enum amb_zone_settings_error {
+    AMB_ZONE_SETTINGS_GOOD,
+    AMB_ZONE_SETTINGS_SHORT_STEADY, /* shorter than a report period */
+    AMB_ZONE_SETTINGS_LOW_BOUND,    /* steady_longest below steady */
+    AMB_ZONE_SETTINGS_SHORT_MEMORY, /* losses are forgotten sooner than the longest steady time */
+};
+
+enum amb_zone_settings_error amb_zone_settings_check(const struct amb_zone_settings *settings);
+/* What is allowed instead; a constant text. */
+const char *amb_zone_settings_allowed(enum amb_zone_settings_error error);
+
+/* Copies the name at *list, up to the next comma or space, and moves *list behind it. False: there is none
+ * left, or it is too long for a name. */
+bool amb_zone_settings_next_class(const char **list, char *name, size_t cap);
+
+#endif
--- a/include/amberpin/zones.h
+++ b/include/amberpin/zones.h
@@ -9,6 +9,8 @@
 
 struct amb_node;
 
+enum { AMB_ZONE_PATIENCE_REPORTS = 3 }; /* report periods after which a machine counts as silent */
+
 enum amb_zone_reach {
     AMB_ZONE_REACHED,
     AMB_ZONE_DEGRADED,    /* a good part of its machines is silent */
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -83,6 +83,7 @@
         amb_record_load(n, key, amb_cbor_get(p, "value"), stamp);
         amb_rental_load(n, key, amb_cbor_get(p, "value"));
         amb_return_record_load(n, key, amb_cbor_get(p, "value"), stamp);
+        amb_zone_record_load(n, key, amb_cbor_get(p, "value"), stamp);
         snprintf(n->ctl.load_after, sizeof n->ctl.load_after, "%s", key);
     }
     bool more = false;
@@ -238,6 +239,7 @@
     amb_election_init(n);
     amb_store_init(&n->store, &n->set, amb_election_patience(n));
     amb_rental_init(n);
+    amb_zone_recovery_init(n);
     for (uint32_t i = 0; i < n->set.nzones; i++) amb_catalog_zone(&n->catalog, n->set.zones[i]);
     amb_http_client_limit(amb_capacity_outgoing(&n->set));
     amb_http_response_limit(amb_memory_answer(&n->set));
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -97,8 +97,15 @@
     return node->set.lease_s * (machine->ntasks ? 1.5 : 3);
 }
 
+/* What it does not show has a reason that is not its own: a deputy answers it, or its zone has just come
+ * back, so that silence and a missing token are of before. (Machines were returned 0.1 s after their first
+ * report, and others because their zone had been away for as long as it takes to give them up.) */
+static bool is_covered(const struct amb_node *node, const struct amb_machine *machine) {
+    return amb_deputy_in_zone(node, machine->zone) || amb_zone_returning(node, machine->zone);
+}
+
 static void look_at_silent(struct amb_node *node, struct amb_machine *machine, amb_ms now) {
-    if (machine->state != AMB_MACHINE_SILENT || amb_deputy_in_zone(node, machine->zone)) return;
+    if (machine->state != AMB_MACHINE_SILENT || is_covered(node, machine)) return;
     amb_ms since = machine->token_shown ? machine->answered_at : node->ctl.leading_since;
     if (now - since > amb_secs(node->set.lease_s * node->opt.silent_release * patience(node, machine, now)))
         amb_rental_release(node, machine, "silent for too long");
@@ -111,7 +118,7 @@
         return;
     amb_machine_seek(node, machine, now);
     amb_ms unknown = now - later(machine->known_at, node->ctl.leading_since);
-    bool covered = amb_deputy_in_zone(node, machine->zone);
+    bool covered = is_covered(node, machine);
     /* Its silence proves nothing while it may hold another leader's token. */
     if (!covered && unknown > amb_secs(unproven_s(node, machine) * patience(node, machine, now)) &&
         amb_may_start(node))
@@ -154,8 +161,7 @@
     look_at_lease(node, machine, now);
     look_at_silent(node, machine, now);
     look_at_unproven(node, machine, now);
-    if (!amb_deputy_in_zone(node, machine->zone) && does_not_hear_us(node, machine, now) &&
-        amb_may_start(node))
+    if (!is_covered(node, machine) && does_not_hear_us(node, machine, now) && amb_may_start(node))
         amb_rental_release(node, machine, "it reports, but does not take our token");
     /* A machine of ours that reports to another node only. */
     if (machine->state == AMB_MACHINE_UP && now - machine->reported_at > amb_secs(node->set.report_s * 4))
--- a/lib/machines.c
+++ b/lib/machines.c
@@ -27,6 +27,7 @@
     if (machine || !create || amb_machine_was_removed(node, name) || strlen(name) >= AMB_NAME) return machine;
     machine = amb_alloc(sizeof *machine);
     strcpy(machine->name, name);
+    machine->number = node->fleet.numbered++;
     machine->state = AMB_MACHINE_UNPROVEN;
     machine->type = machine->zone = machine->kept_for = -1;
     machine->known_at = machine->first_at = machine->state_at = machine->idle_since = amb_now();
--- a/lib/options.c
+++ b/lib/options.c
@@ -23,8 +23,12 @@
     {"duties", offsetof(struct amb_options, duties), 0, 1, 0},
     {"fleet-machines", offsetof(struct amb_options, fleet_machines), 0, 1e6, 0},
     {"duty-lease", offsetof(struct amb_options, duty_lease), 0.001, 0.5, 0.3},
+    {"zone-recovery", offsetof(struct amb_options, zone_recovery), 0, 1, 0},
+    {"zone-steady", offsetof(struct amb_options, zone_steady), 0, 100, 0.5},
+    {"zone-steady-longest", offsetof(struct amb_options, zone_steady_longest), 0, 1000, 2},
+    {"zone-loss-forgotten", offsetof(struct amb_options, zone_loss_forgotten), 0, 10000, 10},
 };
-static const char DUTY_NAMES[] = "duty-names";
+static const char DUTY_NAMES[] = "duty-names", ZONE_RECOVERY_ORDER[] = "zone-recovery-order";
 enum { OPTIONS = sizeof options / sizeof options[0] };
 
 void amb_options_default(struct amb_options *o) {
@@ -73,6 +77,14 @@
     complain(r, DUTY_NAMES, said);
 }
 
+/* Classes are known from the platform's settings: what the names mean is checked with these. */
+static void read_return_order(struct reader *r, const char *names) {
+    if (strlen(names) >= sizeof r->o->zone_recovery_order)
+        complain(r, ZONE_RECOVERY_ORDER, "the list is too long");
+    else
+        strcpy(r->o->zone_recovery_order, names);
+}
+
 static void begin(void *arg, const char *name, const char **attrs) {
     struct reader *r = arg;
     if (r->depth++ == 0) {
@@ -83,6 +95,10 @@
         if (has_value(r, name, attrs)) read_duty_names(r, attrs[1]);
         return;
     }
+    if (!strcmp(name, ZONE_RECOVERY_ORDER)) {
+        if (has_value(r, name, attrs)) read_return_order(r, attrs[1]);
+        return;
+    }
     for (size_t i = 0; i < OPTIONS; i++) {
         if (strcmp(name, options[i].name)) continue;
         if (!has_value(r, name, attrs)) return;
--- a/lib/place.c
+++ b/lib/place.c
@@ -92,6 +92,7 @@
 
 bool amb_place_zone_allowed(const struct amb_wish *wish, int zone) {
     if (wish->zone >= 0 && wish->zone != zone) return false;
+    if (wish->zones_barred >> zone & 1) return false;
     return !wish->zone_most || wish->zone_used[zone] < wish->zone_most;
 }
 
@@ -109,7 +110,8 @@
 
 bool amb_place_fits(const struct amb_wish *wish, const struct amb_slot *slot, bool soon) {
     if (!amb_place_allowed_in_any_zone(wish, slot)) return false;
-    const struct amb_res room = amb_place_room(slot, soon);
+    struct amb_res room = amb_place_room(slot, soon);
+    if (!wish->lasting) amb_res_add(&room, &slot->reserved, -1);
     return amb_res_fits(&wish->need, &room);
 }
 
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -114,6 +114,7 @@
         amb_res_add(&s->room, &w->need, -1);
         amb_round_slot_changed(r, s);
         s->planned++;
+        if (amb_job_recovers(r->n, j)) amb_round_reserve(s, j->spec);
     }
     j->zone_used[s->zone]++;
     p->zones[p->nzones++] = s->zone;
@@ -261,10 +262,13 @@
     struct amb_round *r = p->r;
     struct amb_node *n = r->n;
     struct amb_machine *m, *next;
+    uint32_t held_back = amb_zones_without_batch(n);
     for (uint32_t i = 0; i < r->nslots; i++) {
         struct amb_slot *s = &r->slots[i];
         m = s->machine;
         if (!m || s->planned || !is_empty(m) || m->state != AMB_MACHINE_UP) continue;
+        /* Idle since batch work may not start there yet, for a bounded time. */
+        if (held_back >> m->zone & 1) continue;
         const struct amb_type *t = &n->catalog.types[m->type];
         amb_ms idle = amb_secs(t->boot_s * n->opt.idle_return);
         amb_ms lead = r->now - n->ctl.leading_since;
@@ -405,6 +409,7 @@
 }
 
 void amb_plan(struct amb_round *r) {
+    static const struct amb_res no_room = {0, 0, 0};
     struct amb_node *n = r->n;
     struct plan *p = amb_alloc(sizeof *p);
     p->r = r;
@@ -414,6 +419,7 @@
         if (r->slots[i].machine) {
             r->slots[i].machine->kept_for = -1;
             r->slots[i].machine->claimed = false;
+            r->slots[i].machine->reserved = r->slots[i].reserved = no_room;
         }
     for (uint32_t i = 0; i < r->njobs; i++)
         if (amb_round_wants_start(r, r->jobs[i])) plan_job(p, r->jobs[i]);
--- a/lib/round.c
+++ b/lib/round.c
@@ -61,6 +61,7 @@
     s->machine = m;
     s->kept_for = m->kept_for;
     s->claimed = m->claimed;
+    s->reserved = m->reserved;
     for (struct amb_task *t = m->tasks; t; t = t->next) {
         if (t->halting) amb_res_add(&s->soon, &t->job->spec->each, 1);
         if (t->job->spec->kind == AMB_SERVICE) s->lasting += t->job->spec->each.gpus;
@@ -99,6 +100,7 @@
 
 static int by_urgency(const void *a, const void *b) {
     const struct amb_job *x = *(struct amb_job *const *)a, *y = *(struct amb_job *const *)b;
+    if (x->recovery_step != y->recovery_step) return x->recovery_step < y->recovery_step ? -1 : 1;
     enum amb_priority priority_x = amb_job_priority(x), priority_y = amb_job_priority(y);
     if (priority_x != priority_y) return priority_x > priority_y ? -1 : 1;
     if (lost_before(x) != lost_before(y)) return lost_before(x) ? -1 : 1;
@@ -118,7 +120,10 @@
     for (struct amb_job *j = r->n->jobs.live; j; j = j->next_live) count += amb_round_wants_start(r, j);
     r->jobs = amb_alloc((count + 1) * sizeof *r->jobs);
     for (struct amb_job *j = r->n->jobs.live; j; j = j->next_live)
-        if (amb_round_wants_start(r, j)) r->jobs[r->njobs++] = j;
+        if (amb_round_wants_start(r, j)) {
+            j->recovery_step = amb_zone_recovery_step(r->n, j);
+            r->jobs[r->njobs++] = j;
+        }
     qsort(r->jobs, r->njobs, sizeof *r->jobs, by_urgency);
     for (uint32_t i = 0; i < r->njobs; i++) {
         struct amb_line *l = &r->lines[r->jobs[i]->team - r->n->set.teams];
@@ -226,6 +231,9 @@
     w->can_wait = amb_round_can_wait(r->n, j);
     w->zone_used = j->zone_used;
     w->zone_most = j->spec->spread ? amb_place_spread_most(j->spec->tasks) : 0;
+    /* A zone that has just come back may go again: replicas of the order return there at once, batch work
+     * that would lose what it has done waits until the zone is steady. */
+    w->zones_barred = j->spec->kind == AMB_SERVICE ? 0 : amb_zones_without_batch(r->n);
     limit_zones(r, j, w);
 }
 
@@ -307,6 +315,7 @@
     while (l->at < l->n) {
         struct amb_job *j = l->jobs[l->at];
         if (r->urgent_pass && amb_job_priority(j) < AMB_HIGH) return false;
+        if (j->recovery_step > r->recovery_pass) return false;
         if (amb_round_wants_start(r, j)) {
             double times = j->spec->kind == AMB_GANG ? j->spec->tasks : 1;
             memset(out, 0, sizeof *out);
@@ -331,8 +340,24 @@
     r->lines[team].at++;
 }
 
+void amb_round_reserve(struct amb_slot *s, const struct amb_spec *spec) {
+    if (s->machine) amb_res_add(&s->machine->reserved, &spec->each, 1);
+}
+
+static double at_least_nothing(double amount) {
+    return fmax(amount, 0);
+}
+
+static void use_reserved(struct amb_slot *s, const struct amb_spec *spec) {
+    amb_res_add(&s->reserved, &spec->each, -1);
+    s->reserved = (struct amb_res){at_least_nothing(s->reserved.cpus), at_least_nothing(s->reserved.gpus),
+                                   at_least_nothing(s->reserved.memory)};
+    s->machine->reserved = s->reserved;
+}
+
 static void start_task(struct amb_round *r, struct amb_task *t, struct amb_slot *s, uint64_t attempt) {
     struct amb_job *j = t->job;
+    if (amb_job_recovers(r->n, j)) use_reserved(s, j->spec);
     amb_round_slot(r, (uint32_t)(s - r->slots));
     amb_round_slot_changed(r, s);
     r->placed_tasks++;
@@ -522,14 +547,16 @@
     return hurry && stopped->checkpoint_s / 2 < stopped->save_s * 2 ? 0 : stopped->save_s;
 }
 
-/* More was promised of the machine than it has: work is told to stop until it has it. */
-static void clear_way(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
-                      const struct amb_spec *waits) {
+/* More was promised of the machine than it has: work of at most this priority is told to stop until it has
+ * it.
+ */
+static void clear_way_of(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
+                         const struct amb_spec *waits, enum amb_priority highest) {
     static const struct amb_res nothing = {0, 0, 0};
     struct amb_res room = amb_place_room(s, true);
     amb_round_slot_changed(r, s);
     for (struct amb_task *t = s->machine->tasks; t && !amb_res_fits(&nothing, &room); t = t->next) {
-        if (!amb_round_makes_way(t, claim)) continue;
+        if (!amb_round_makes_way(t, claim) || amb_job_priority(t->job) > highest) continue;
         amb_res_add(&room, &t->job->spec->each, 1);
         amb_res_add(&s->soon, &t->job->spec->each, 1);
         amb_debug("room on %s: %s/%u makes way for %s", s->machine->name, t->job->ref, t->index, waits->ref);
@@ -537,6 +564,18 @@
     }
 }
 
+static void clear_way(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
+                      const struct amb_spec *waits) {
+    clear_way_of(r, s, claim, waits, AMB_PROD);
+}
+
+/* Best effort first, since what returns may need room on many machines at once. */
+static void clear_way_lowest_first(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
+                                   const struct amb_spec *waits) {
+    for (int highest = AMB_BEST_EFFORT; highest <= AMB_PROD; highest++)
+        clear_way_of(r, s, claim, waits, (enum amb_priority)highest);
+}
+
 struct amb_slot *amb_round_make_room(struct amb_round *r, struct amb_job *j, const struct amb_wish *w,
                                      bool image_only) {
     const struct amb_claim claim = claim_of(j);
@@ -545,10 +584,13 @@
     if (best < 0) return NULL;
     struct amb_slot *s = &r->slots[best];
     amb_res_add(&s->room, &w->need, -1);
-    clear_way(r, s, &claim, j->spec); /* says that the slot has changed */
+    bool returns = amb_job_recovers(r->n, j);
+    /* Says that the slot has changed. */
+    (returns ? clear_way_lowest_first : clear_way)(r, s, &claim, j->spec);
     s->planned++;
     /* Until it has come, no batch work goes there. */
     if (j->spec->kind == AMB_GANG) s->machine->kept_for = (int)claim.priority;
+    if (returns) amb_round_reserve(s, j->spec);
     return s;
 }
 
@@ -628,13 +670,30 @@
     return AMB_TRY_ADMITTED;
 }
 
+/* What was lost with a zone comes back class by class (docs/design.md, exceptions). */
+static uint32_t admit_recovering(struct amb_round *r, const struct amb_wdrr_ops *ops, uint32_t first) {
+    struct amb_node *n = r->n;
+    uint32_t count = 0;
+    for (uint32_t step = 0; step < n->zone_recovery.order.count; step++) {
+        r->recovery_pass = (uint8_t)step;
+        count += amb_wdrr_round(n->set.teams, n->set.nteams, first, ops);
+        for (uint32_t i = 0; i < n->set.nteams; i++) {
+            struct amb_line *l = &r->lines[i];
+            while (l->at < l->n && l->jobs[l->at]->recovery_step <= step) l->at++;
+        }
+    }
+    r->recovery_pass = AMB_NO_STEP;
+    return count;
+}
+
 uint32_t amb_round_admit(struct amb_round *r) {
     struct amb_node *n = r->n;
     const struct amb_wdrr_ops ops = {next_item, admit, skip_item, is_idle, r};
-    uint32_t first = n->set.nteams ? n->ctl.turn++ % n->set.nteams : 0, count;
+    uint32_t first = n->set.nteams ? n->ctl.turn++ % n->set.nteams : 0;
+    uint32_t count = admit_recovering(r, &ops, first);
     /* What users wait for goes before what may be stopped for it (docs/design.md, exceptions). */
     r->urgent_pass = true;
-    count = amb_wdrr_round(n->set.teams, n->set.nteams, first, &ops);
+    count += amb_wdrr_round(n->set.teams, n->set.nteams, first, &ops);
     for (uint32_t i = 0; i < n->set.nteams; i++) {
         struct amb_line *l = &r->lines[i];
         while (l->at < l->n && amb_job_priority(l->jobs[l->at]) >= AMB_HIGH) l->at++;
--- /dev/null
+++ b/lib/zone_record.c
@@ -0,0 +1,181 @@
+/* The record of zones and of the order of return, `b/zones`, of which the leader is the only writer. */
+#include "amberpin/cloud_calls.h"
+#include "amberpin/log.h"
+#include "amberpin/node.h"
+#include "amberpin/term_guard.h"
+#include "amberpin/zone_recovery.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static const char KEY[] = "b/zones";
+
+enum { FORM = 1 }; /* of the records that this version writes */
+
+/* Calls of the leader to the state service: the node, while it leads under the term of the call and waits for
+ * its answer. Frees the call. */
+static struct amb_node *take_call(void *arg, enum amb_zone_record_state waits) {
+    struct amb_cloud_call *call = arg;
+    struct amb_node *node = call->node;
+    bool ours = amb_cloud_call_current(call) && node->zone_recovery.record.state == waits;
+    free(call);
+    return ours ? node : NULL;
+}
+
+static void retry_later(struct amb_node *node, enum amb_zone_record_state state) {
+    node->zone_recovery.record.state = state;
+    node->zone_recovery.record.retry_at = amb_now() + node->store.call_timeout;
+}
+
+/* ---- the value ---- */
+
+static bool is_on_record(const struct amb_zone_health *health) {
+    return health->losses > 0 || !amb_zone_verdict_admits_batch(health->verdict);
+}
+
+static void put_zone(struct amb_buf *out, const struct amb_node *node, uint32_t zone) {
+    const struct amb_zone_health *health = &node->zone_recovery.zones[zone];
+    amb_w_map(out, 3);
+    amb_w_str(out, "zone");
+    amb_w_str(out, node->catalog.zones[zone]);
+    amb_w_str(out, "verdict");
+    amb_w_str(out, amb_zone_verdict_name(health->verdict));
+    amb_w_str(out, "losses");
+    amb_w_uint(out, health->losses);
+}
+
+static void put_step(struct amb_buf *out, const struct amb_recovery_step *step) {
+    amb_w_map(out, 2);
+    amb_w_str(out, "class");
+    amb_w_str(out, step->lost.name);
+    amb_w_str(out, "priority");
+    amb_w_uint(out, step->lost.priority);
+}
+
+static void put_value(struct amb_buf *out, struct amb_node *node) {
+    struct amb_zone_recovery *recovery = &node->zone_recovery;
+    uint32_t count = 0;
+    recovery->record.writing_lost = 0;
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) {
+        count += is_on_record(&recovery->zones[zone]);
+        if (!amb_zone_verdict_admits_batch(recovery->zones[zone].verdict))
+            recovery->record.writing_lost |= 1u << zone;
+    }
+    amb_w_map(out, 3);
+    amb_w_str(out, "form");
+    amb_w_uint(out, FORM);
+    amb_w_str(out, "zones");
+    amb_w_list(out, count);
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
+        if (is_on_record(&recovery->zones[zone])) put_zone(out, node, zone);
+    amb_w_str(out, "steps");
+    amb_w_list(out, recovery->order.count);
+    for (uint32_t i = 0; i < recovery->order.count; i++) put_step(out, &recovery->order.steps[i]);
+}
+
+/* ---- writing ---- */
+
+static void written(void *arg, int status, const cbor_item_t *body) {
+    struct amb_node *node = take_call(arg, AMB_ZONE_RECORD_WRITING);
+    if (!node) return;
+    struct amb_zone_record *record = &node->zone_recovery.record;
+    if (status != 200 || !amb_cbor_uint(amb_cbor_get(body, "epoch"), &record->stamp)) {
+        retry_later(node, AMB_ZONE_RECORD_UNSURE);
+        return;
+    }
+    record->lost = record->writing_lost;
+    record->state = record->changed ? AMB_ZONE_RECORD_DUE : AMB_ZONE_RECORD_CURRENT;
+}
+
+/* Under the stamp that the key is known to have: a copy that is carried out late changes nothing. */
+static void write_record(struct amb_node *node) {
+    struct amb_zone_record *record = &node->zone_recovery.record;
+    struct amb_txn txn = {0};
+    struct amb_buf value = {0};
+    put_value(&value, node);
+    amb_guard_term(&txn, node);
+    amb_txn_guard(&txn, KEY, record->stamp);
+    amb_txn_put(&txn, KEY, &value, 0);
+    amb_buf_free(&value);
+    record->lost |= record->writing_lost;
+    record->changed = false;
+    record->state = AMB_ZONE_RECORD_WRITING;
+    amb_store_commit(&node->store, &txn, AMB_URGENT_PLACE, written, amb_cloud_call_new(node));
+}
+
+static void read_back(void *arg, int status, const cbor_item_t *body) {
+    struct amb_node *node = take_call(arg, AMB_ZONE_RECORD_READING);
+    if (!node) return;
+    struct amb_zone_record *record = &node->zone_recovery.record;
+    if (status == 404) record->stamp = 0;
+    bool known =
+        status == 404 || (status == 200 && amb_cbor_uint(amb_cbor_get(body, "stamp"), &record->stamp));
+    if (known)
+        record->state = AMB_ZONE_RECORD_DUE;
+    else
+        retry_later(node, AMB_ZONE_RECORD_UNSURE);
+}
+
+static void read_record(struct amb_node *node) {
+    node->zone_recovery.record.state = AMB_ZONE_RECORD_READING;
+    amb_store_get(&node->store, KEY, AMB_URGENT_PLACE, read_back, amb_cloud_call_new(node));
+}
+
+void amb_zone_record_changed(struct amb_node *node) {
+    struct amb_zone_record *record = &node->zone_recovery.record;
+    record->changed = true;
+    if (record->state == AMB_ZONE_RECORD_CURRENT) record->state = AMB_ZONE_RECORD_DUE;
+}
+
+void amb_zone_record_tick(struct amb_node *node, amb_ms now) {
+    const struct amb_zone_record *record = &node->zone_recovery.record;
+    if (now < record->retry_at || !amb_may_start(node)) return;
+    /* An old version would neither write nor heed it. */
+    if (amb_format_in_use(node) < AMB_FORMAT_2) return;
+    if (record->state == AMB_ZONE_RECORD_DUE) write_record(node);
+    if (record->state == AMB_ZONE_RECORD_UNSURE) read_record(node);
+}
+
+/* ---- taking over ---- */
+
+static void load_zone(struct amb_node *node, const cbor_item_t *item) {
+    char name[AMB_NAME], said[AMB_NAME];
+    enum amb_zone_verdict verdict;
+    uint64_t losses;
+    if (!amb_cbor_str(amb_cbor_get(item, "zone"), name, sizeof name) ||
+        !amb_cbor_str(amb_cbor_get(item, "verdict"), said, sizeof said) ||
+        !amb_zone_verdict_parse(said, &verdict) || !amb_cbor_uint(amb_cbor_get(item, "losses"), &losses))
+        return;
+    int zone = amb_catalog_zone(&node->catalog, name);
+    if (zone < 0) return;
+    amb_zone_health_restore(&node->zone_recovery.zones[zone], verdict,
+                            losses < UINT32_MAX ? (uint32_t)losses : UINT32_MAX, amb_now());
+    if (!amb_zone_verdict_admits_batch(verdict)) node->zone_recovery.record.lost |= 1u << zone;
+    amb_info("zone %s: %s, as an earlier leader left it", name, said);
+}
+
+/* The steps stand in their order. */
+static void load_step(struct amb_node *node, const cbor_item_t *item) {
+    struct amb_recovery_order *order = &node->zone_recovery.order;
+    struct amb_recovery_step *step = &order->steps[order->count];
+    uint64_t priority;
+    if (order->count == AMB_RECOVERY_STEPS) return;
+    *step = (struct amb_recovery_step){
+        .wait = AMB_RECOVERY_FOR_PROOF, .opened_at = amb_now(), .lost.listed = AMB_RECOVERY_UNLISTED};
+    if (!amb_cbor_str(amb_cbor_get(item, "class"), step->lost.name, sizeof step->lost.name) ||
+        !amb_cbor_uint(amb_cbor_get(item, "priority"), &priority) || priority > AMB_PROD)
+        return;
+    step->lost.priority = (enum amb_priority)priority;
+    order->count++;
+}
+
+void amb_zone_record_load(struct amb_node *node, const char *key, const cbor_item_t *value, uint64_t stamp) {
+    uint64_t form = 0;
+    if (!amb_zone_recovery_on(node) || strcmp(key, KEY) != 0) return;
+    node->zone_recovery.record.stamp = stamp;
+    if (!amb_cbor_uint(amb_cbor_get(value, "form"), &form) || form != FORM) return;
+    const cbor_item_t *zones = amb_cbor_get(value, "zones"), *steps = amb_cbor_get(value, "steps");
+    for (size_t i = 0; i < amb_cbor_len(zones); i++) load_zone(node, amb_cbor_at(zones, i));
+    node->zone_recovery.order.count = 0;
+    for (size_t i = 0; i < amb_cbor_len(steps); i++) load_step(node, amb_cbor_at(steps, i));
+}
--- /dev/null
+++ b/lib/zone_settings.c
@@ -0,0 +1,71 @@
+#include "amberpin/node.h"
+#include "amberpin/zone_recovery.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static struct amb_zone_settings settings_of(const struct amb_settings *set,
+                                            const struct amb_options *options) {
+    return (struct amb_zone_settings){
+        .report_period = amb_secs(set->report_s),
+        .steady = amb_secs(set->lease_s * options->zone_steady),
+        .steady_longest = amb_secs(set->lease_s * options->zone_steady_longest),
+        .loss_forgotten = amb_secs(set->lease_s * options->zone_loss_forgotten),
+    };
+}
+
+static bool is_class(const struct amb_settings *set, const char *name) {
+    for (uint32_t i = 0; i < set->nobjectives; i++)
+        if (!strcmp(set->objectives[i].class_name, name)) return true;
+    return false;
+}
+
+/* Names in the list up to the place `end`. */
+static bool is_named_before(const char *list, const char *end, const char *name) {
+    char other[AMB_NAME];
+    while (list < end && amb_zone_settings_next_class(&list, other, sizeof other))
+        if (list < end && !strcmp(other, name)) return true;
+    return false;
+}
+
+static bool check_order(const struct amb_settings *set, const char *order, const char *file, char *err,
+                        size_t cap) {
+    char name[AMB_NAME];
+    const char *at = order;
+    while (amb_zone_settings_next_class(&at, name, sizeof name)) {
+        if (!is_class(set, name)) {
+            snprintf(err, cap, "%s: zone-recovery-order: '%s' is no class that objectives name", file, name);
+            return false;
+        }
+        if (is_named_before(order, at, name)) {
+            snprintf(err, cap, "%s: zone-recovery-order: '%s' stands there twice; each class has one place",
+                     file, name);
+            return false;
+        }
+    }
+    if (!at[strspn(at, ", ")]) return true;
+    snprintf(err, cap, "%s: zone-recovery-order: a name is longer than the %d bytes of a class", file,
+             AMB_NAME - 1);
+    return false;
+}
+
+bool amb_zone_recovery_check(const struct amb_settings *set, const struct amb_options *options,
+                             const char *file, char *err, size_t cap) {
+    if (options->zone_recovery == 0) return true;
+    if (!file) file = "options";
+    struct amb_zone_settings settings = settings_of(set, options);
+    enum amb_zone_settings_error error = amb_zone_settings_check(&settings);
+    if (error != AMB_ZONE_SETTINGS_GOOD) {
+        snprintf(err, cap, "%s: %s", file, amb_zone_settings_allowed(error));
+        return false;
+    }
+    return check_order(set, options->zone_recovery_order, file, err, cap);
+}
+
+bool amb_zone_recovery_on(const struct amb_node *node) {
+    return node->opt.zone_recovery != 0;
+}
+
+void amb_zone_recovery_init(struct amb_node *node) {
+    if (amb_zone_recovery_on(node)) node->zone_recovery.settings = settings_of(&node->set, &node->opt);
+}
--- /dev/null
+++ b/lib/zone_verdicts.c
@@ -0,0 +1,124 @@
+/* Evidence from the leader's table of machines, and what the verdicts on the zones mean to the rest of it. */
+#include "amberpin/log.h"
+#include "amberpin/node.h"
+#include "amberpin/zone_recovery.h"
+
+struct zone_sets { /* of machines, by their numbers */
+    roaring_bitmap_t *expected, *answering;
+};
+
+/* ---- evidence ---- */
+
+static amb_ms patience(const struct amb_node *node) {
+    return amb_secs(node->set.report_s * AMB_ZONE_PATIENCE_REPORTS);
+}
+
+bool amb_zone_machine_expected(const struct amb_node *node, const struct amb_machine *machine, amb_ms now) {
+    if (machine->zone < 0 || machine->type < 0) return false;
+    double boot_s = node->catalog.types[machine->type].boot_s;
+    return machine->state != AMB_MACHINE_BOOTING || now - machine->first_at >= amb_secs(boot_s * 2);
+}
+
+bool amb_zone_machine_answers(const struct amb_node *node, const struct amb_machine *machine, amb_ms now) {
+    return now - machine->reported_at <= patience(node);
+}
+
+static void take_sets(const struct amb_node *node, amb_ms now, struct zone_sets sets[AMB_ZONES]) {
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
+        sets[zone] = (struct zone_sets){roaring_bitmap_create(), roaring_bitmap_create()};
+    for (const struct amb_machine *machine = node->fleet.all; machine; machine = machine->hh.next) {
+        if (!amb_zone_machine_expected(node, machine, now)) continue;
+        roaring_bitmap_add(sets[machine->zone].expected, machine->number);
+        if (amb_zone_machine_answers(node, machine, now))
+            roaring_bitmap_add(sets[machine->zone].answering, machine->number);
+    }
+}
+
+static void free_sets(const struct amb_node *node, struct zone_sets sets[AMB_ZONES]) {
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) {
+        roaring_bitmap_free(sets[zone].expected);
+        roaring_bitmap_free(sets[zone].answering);
+    }
+}
+
+static uint64_t silent_of(const struct zone_sets *sets) {
+    return roaring_bitmap_andnot_cardinality(sets->expected, sets->answering);
+}
+
+/* No zone is heard: it is this node that is out of reach. */
+static bool nobody_heard(const struct amb_node *node, const struct zone_sets sets[AMB_ZONES]) {
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) {
+        uint64_t expected = roaring_bitmap_get_cardinality(sets[zone].expected);
+        if (amb_zone_heard_of(expected, silent_of(&sets[zone])) != AMB_ZONE_NOT_HEARD) return false;
+    }
+    return true;
+}
+
+/* ---- verdicts ---- */
+
+static void show_reach(struct amb_node *node, uint32_t zone, amb_ms now) {
+    static const enum amb_zone_reach reach[AMB_ZONE_VERDICTS] = {AMB_ZONE_REACHED, AMB_ZONE_DEGRADED,
+                                                                 AMB_ZONE_UNREACHABLE, AMB_ZONE_DEGRADED};
+    node->fleet.reach[zone] = reach[node->zone_recovery.zones[zone].verdict];
+    if (node->fleet.reach[zone] != AMB_ZONE_REACHED) node->fleet.out_of_reach_at[zone] = now;
+}
+
+static void verdict_changed(struct amb_node *node, uint32_t zone, enum amb_zone_verdict before,
+                            const struct zone_sets *sets, amb_ms now) {
+    const struct amb_zone_health *health = &node->zone_recovery.zones[zone];
+    amb_ms steady = amb_zone_health_steady_time(health, &node->zone_recovery.settings);
+    amb_info("zone %s: %s -> %s: %llu of %llu machines silent, %u losses count, steady for %lld ms is asked",
+             node->catalog.zones[zone], amb_zone_verdict_name(before), amb_zone_verdict_name(health->verdict),
+             (unsigned long long)silent_of(sets),
+             (unsigned long long)roaring_bitmap_get_cardinality(sets->expected), health->losses,
+             (long long)steady);
+    if (health->verdict == AMB_ZONE_LOST) amb_zone_order_lost(node, (int)zone, now);
+    if (!amb_zone_verdict_admits_batch(before) || !amb_zone_verdict_admits_batch(health->verdict))
+        amb_zone_record_changed(node);
+}
+
+static void judge_zone(struct amb_node *node, uint32_t zone, const struct zone_sets *sets, bool nobody,
+                       amb_ms now) {
+    struct amb_zone_health *health = &node->zone_recovery.zones[zone];
+    enum amb_zone_verdict before = health->verdict;
+    const struct amb_zone_evidence evidence = {
+        .expected = sets->expected,
+        .answering = sets->answering,
+        .deputy_at_work = amb_deputy_in_zone(node, (int)zone),
+        .nobody_heard = nobody,
+    };
+    if (amb_zone_health_update(health, &node->zone_recovery.settings, &evidence, now))
+        verdict_changed(node, zone, before, sets, now);
+}
+
+void amb_zone_verdicts_tick(struct amb_node *node, amb_ms now) {
+    struct zone_sets sets[AMB_ZONES];
+    bool learning = now - node->ctl.leading_since <= patience(node); /* a new leader has heard nobody yet */
+    if (!learning) {
+        take_sets(node, now, sets);
+        bool nobody = nobody_heard(node, sets);
+        for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
+            judge_zone(node, zone, &sets[zone], nobody, now);
+        free_sets(node, sets);
+    }
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) show_reach(node, zone, now);
+}
+
+bool amb_zone_returning(const struct amb_node *node, int zone) {
+    return zone >= 0 && node->zone_recovery.zones[zone].verdict == AMB_ZONE_RETURNING;
+}
+
+uint32_t amb_zones_without_batch(const struct amb_node *node) {
+    uint32_t mask = node->zone_recovery.record.lost;
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
+        if (!amb_zone_verdict_admits_batch(node->zone_recovery.zones[zone].verdict)) mask |= 1u << zone;
+    return mask;
+}
+
+void amb_zone_recovery_clear(struct amb_node *node) {
+    struct amb_zone_recovery *recovery = &node->zone_recovery;
+    for (uint32_t zone = 0; zone < AMB_ZONES; zone++) amb_zone_health_free(&recovery->zones[zone]);
+    recovery->order.count = 0;
+    recovery->order_looked_at = 0;
+    recovery->record = (struct amb_zone_record){.state = AMB_ZONE_RECORD_CURRENT};
+}
--- a/lib/zones.c
+++ b/lib/zones.c
@@ -19,26 +19,33 @@
 }
 
 static amb_ms patience(const struct amb_node *node) {
-    return amb_secs(node->set.report_s * 3);
+    return amb_secs(node->set.report_s * AMB_ZONE_PATIENCE_REPORTS);
 }
 
 static void count_machines(const struct amb_node *node, amb_ms now, struct zone_count counts[AMB_ZONES]) {
     for (const struct amb_machine *machine = node->fleet.all; machine; machine = machine->hh.next) {
-        if (machine->zone < 0 || machine->type < 0) continue;
-        double boot_s = node->catalog.types[machine->type].boot_s;
-        if (machine->state == AMB_MACHINE_BOOTING && now - machine->first_at < amb_secs(boot_s * 2)) continue;
+        if (!amb_zone_machine_expected(node, machine, now)) continue;
         counts[machine->zone].all++;
-        counts[machine->zone].silent += now - machine->reported_at > patience(node);
+        counts[machine->zone].silent += !amb_zone_machine_answers(node, machine, now);
     }
 }
 
 static enum amb_zone_reach reach_by_count(struct zone_count count) {
-    if (count.silent <= 2) return AMB_ZONE_REACHED;
-    if (count.silent * 10 >= count.all * 9) return AMB_ZONE_UNREACHABLE;
-    return count.silent * 3 > count.all ? AMB_ZONE_DEGRADED : AMB_ZONE_REACHED;
+    switch (amb_zone_heard_of(count.all, count.silent)) {
+    case AMB_ZONE_HEARD: return AMB_ZONE_REACHED;
+    case AMB_ZONE_HEARD_PARTLY: return AMB_ZONE_DEGRADED;
+    case AMB_ZONE_NOT_HEARD: return AMB_ZONE_UNREACHABLE;
+    }
+    return AMB_ZONE_REACHED;
 }
 
 void amb_zones_tick(struct amb_node *node, amb_ms now) {
+    if (amb_zone_recovery_on(node)) { /* which then judges alone */
+        amb_zone_verdicts_tick(node, now);
+        amb_zone_order_tick(node, now);
+        amb_zone_record_tick(node, now);
+        return;
+    }
     struct zone_count counts[AMB_ZONES] = {{0}};
     enum amb_zone_reach reach[AMB_ZONES];
     uint32_t unreachable = 0;
@@ -60,6 +67,7 @@
 void amb_zones_clear(struct amb_node *node) {
     memset(node->fleet.reach, 0, sizeof node->fleet.reach);
     memset(node->fleet.out_of_reach_at, 0, sizeof node->fleet.out_of_reach_at);
+    amb_zone_recovery_clear(node);
 }
 
 enum amb_zone_reach amb_zone_reach(const struct amb_node *node, int zone) {
--- a/src/main.c
+++ b/src/main.c
@@ -17,6 +17,7 @@
     if (!amb_settings_load(cli.config, &node.set, err, sizeof err) ||
         (cli.options && !amb_options_load(cli.options, &node.opt, err, sizeof err)) ||
         !amb_duties_check(&node.set, &node.opt, cli.options, err, sizeof err) ||
+        !amb_zone_recovery_check(&node.set, &node.opt, cli.options, err, sizeof err) ||
         !amb_capacity_check(&node.set, &node.opt, cli.config, err, sizeof err)) {
         fprintf(stderr, "amberpin: %s\n", err);
         return 2;
--- a/tests/loopback/controllers.c
+++ b/tests/loopback/controllers.c
@@ -48,11 +48,11 @@
     file_of(path, node, ".toml");
     FILE *out = create(path);
     fprintf(out, "member = \"n%d\"\narea = \"%s\"\nfront = \"%s\"\ncluster_listen = \"%s\"\n", node,
-            sim_zone_of_node(node) ? "b" : "a", controller->front, controller->cluster);
+            sim_zone_name(sim_zone_of_node(node)), controller->front, controller->cluster);
     for (int i = 0; i < run.plan->controllers; i++)
         if (i != node)
             fprintf(out, "[[others]]\nmember = \"n%d\"\narea = \"%s\"\naddr = \"%s\"\n", i,
-                    sim_zone_of_node(i) ? "b" : "a", run.controllers[i].cluster);
+                    sim_zone_name(sim_zone_of_node(i)), run.controllers[i].cluster);
     fprintf(out, "[endpoints]\ncloud = \"%s\"\nstate = \"%s\"\n", controller->cloud, controller->state);
     fprintf(out, "[params]\nzones = [\"a\", \"b\"]\nskew_ms = 5.0\n");
     for (int i = 0; i < SIM_TEAMS; i++)
--- a/tests/loopback/run.c
+++ b/tests/loopback/run.c
@@ -72,6 +72,12 @@
     return 0;
 }
 
+/* Controllers are processes: their books are not at hand. */
+const struct amb_node *sim_leader_since(amb_ms before) {
+    (void)before;
+    return NULL;
+}
+
 void sim_node_kill(int index, amb_ms back) {
     (void)back;
     proof_controller_kill(index);
--- a/tests/standin/cloud.c
+++ b/tests/standin/cloud.c
@@ -56,7 +56,7 @@
         sim_machine_address(i, text);
         amb_w_str(&list, "address"), amb_w_str(&list, text);
         amb_w_str(&list, "hull"), amb_w_str(&list, "g8");
-        amb_w_str(&list, "yard"), amb_w_str(&list, machine->zone ? "b" : "a");
+        amb_w_str(&list, "yard"), amb_w_str(&list, sim_zone_name(machine->zone));
         amb_w_str(&list, "driftwood"), amb_w_bool(&list, machine->spot);
         bool failed = machine->dead && then - machine->died_at > 30000;
         amb_w_str(&list, "stance"), amb_w_str(&list, failed ? "failed" : machine->up ? "running" : "booting");
@@ -93,7 +93,9 @@
     amb_cbor_str(amb_cbor_get(body, "charter"), id, sizeof id);
     amb_cbor_uint(amb_cbor_get(body, "count"), &count);
     amb_cbor_bool(amb_cbor_get(body, "driftwood"), &spot);
-    int zone = amb_cbor_eq(amb_cbor_get(body, "yard"), "b");
+    char zone_name[AMB_NAME] = "";
+    amb_cbor_str(amb_cbor_get(body, "yard"), zone_name, sizeof zone_name);
+    int zone = sim_zone_of_name(zone_name);
     cbor_decref(&body);
     int k = 0;
     while (k < world.cloud.rental_count && strcmp(world.cloud.rentals[k].name, id)) k++;
@@ -209,7 +211,8 @@
         amb_w_str(&b, "hourly"), amb_w_num(&b, 12);
         amb_w_str(&b, "market_price"), amb_w_num(&b, 4.5);
         amb_w_str(&b, "boot_s"), amb_w_num(&b, (double)sim_pace.boot / 1000);
-        amb_w_str(&b, "yards"), amb_w_list(&b, 2), amb_w_str(&b, "a"), amb_w_str(&b, "b");
+        amb_w_str(&b, "yards"), amb_w_list(&b, (size_t)sim_zones());
+        for (int zone = 0; zone < sim_zones(); zone++) amb_w_str(&b, sim_zone_name(zone));
         sim_call_answer(call, 200, &b);
     } else if (!strcmp(call->path, "/machines/release")) {
         world.result.late_returns += sim_leader_stamp() > call->sent_at_revision;
--- a/tests/standin/day.c
+++ b/tests/standin/day.c
@@ -14,7 +14,8 @@
 const struct sim_size sim_small = {3, 12, 16, 12, 3, 1000, 10000, 30000, 200, 20, 3},
                       sim_grown = {7, 120, 120, 40, 3, 1000, 10000, 30000, 200, 20, 3},
                       sim_fleet = {7, 600, 700, 60, 12, 4000, 22000, 42000, 700, 70, 6},
-                      sim_slow = {3, 12, 16, 12, 3, 12000, 60000, 120000, 200, 20, 3};
+                      sim_slow = {3, 12, 16, 12, 3, 12000, 60000, 120000, 200, 20, 3},
+                      sim_zonal = {5, 24, 40, 16, 3, 1000, 10000, 30000, 400, 60, 6};
 
 const struct sim_pace sim_pace = {.list_lag = 5000, .boot = 8000, .fetch = 2000};
 
@@ -37,6 +38,7 @@
     world.random = seed * 2654435761u + 88172645463325252u;
     world.now = START_MS;
     world.current = -1;
+    world.result.worst_window = 1;
 }
 
 static void take_faults(const struct sim_fault *faults, size_t count) {
@@ -79,7 +81,10 @@
     sim_state_tick();
     for (int i = 0; i < world.machine_count; i++) sim_machine_advance(i);
     advance_gangs();
-    if (end % 1000 == 0) sim_check_second();
+    if (end % 1000 == 0) {
+        sim_check_second();
+        sim_recovery_second();
+    }
 }
 
 static struct sim_result play(const struct sim_plan *plan, double memory_mb, amb_ms overtime) {
@@ -88,7 +93,8 @@
     world.memory_mb = memory_mb;
     take_faults(plan->faults, plan->fault_count);
     sim_start_nodes();
-    for (int i = 0; i < FIRST_MACHINES; i++) sim_machine_new(i, false, FIRST_BOOT_MS);
+    int first_machines = plan->load & SIM_LOAD_ZONAL ? plan->size->machines : FIRST_MACHINES;
+    for (int i = 0; i < first_machines; i++) sim_machine_new(i % sim_zones(), false, FIRST_BOOT_MS);
     sim_draw_jobs(plan->length);
     amb_ms end = START_MS + plan->length, latest_end = end + overtime;
     amb_ms at = START_MS;
@@ -96,6 +102,7 @@
         play_tick(at + SIM_TICK_MS);
     if (at >= end + SIM_TICK_MS) world.result.overtime = at - end;
     sim_check_end(overtime > 0);
+    sim_recovery_end();
     return world.result;
 }
 
--- a/tests/standin/faults.c
+++ b/tests/standin/faults.c
@@ -1,6 +1,8 @@
 /* Faults: which are active, what they cut, and what happens when they begin. */
 #include "world.h"
 
+#include <string.h>
+
 enum {
     USUAL_PERCENT = 25,
     AFTERMATH_MS = 25000, /* late copies are there, nodes are back */
@@ -37,12 +39,38 @@
     return sim_fault_active(kind, node);
 }
 
+int sim_zones(void) {
+    return world.load & SIM_LOAD_ZONAL ? 3 : 2;
+}
+
+static const char *const zone_names[SIM_ZONES] = {"a", "b", "c"};
+
+const char *sim_zone_name(int zone) {
+    return zone_names[zone];
+}
+
+int sim_zone_of_name(const char *name) {
+    for (int zone = 0; zone < SIM_ZONES; zone++)
+        if (!strcmp(name, zone_names[zone])) return zone;
+    return 0;
+}
+
 int sim_zone_of_node(int node) {
-    return node == 1;
+    return world.load & SIM_LOAD_ZONAL ? node % SIM_ZONES : node == 1;
+}
+
+static bool zone_is_cut(int zone) {
+    return sim_fault_active(SIM_CUT_ZONE, zone);
 }
 
 static bool zones_part(int zone, int other) {
-    return zone != other && sim_fault_active(SIM_ZONES_APART, -1);
+    if (zone == other) return false;
+    return sim_fault_active(SIM_ZONES_APART, -1) || zone_is_cut(zone) || zone_is_cut(other);
+}
+
+/* State service, cloud and users belong to no zone. */
+static bool node_is_cut(int node) {
+    return zone_is_cut(sim_zone_of_node(node));
 }
 
 static bool peer_passes(int from, int to) {
@@ -61,11 +89,12 @@
 
 bool sim_passes(const struct sim_call *call) {
     switch (call->to) {
-    case SIM_AT_STATE: return !sim_node_cut(SIM_CUT_STATE, call->from);
-    case SIM_AT_CLOUD: return !sim_fault_active(SIM_CUT_ALL, call->from);
+    case SIM_AT_STATE: return !sim_node_cut(SIM_CUT_STATE, call->from) && !node_is_cut(call->from);
+    case SIM_AT_CLOUD: return !sim_fault_active(SIM_CUT_ALL, call->from) && !node_is_cut(call->from);
     case SIM_AT_PEER: return peer_passes(call->from, call->node);
     case SIM_AT_FRONT:
-        if (call->from_machine < 0) return !sim_fault_active(SIM_CUT_ALL, call->node);
+        if (call->from_machine < 0)
+            return !sim_fault_active(SIM_CUT_ALL, call->node) && !node_is_cut(call->node);
         return report_passes(call->from_machine, call->node) &&
                !sim_fault_active(SIM_MUTE, call->from_machine);
     case SIM_AT_WORKER: return command_passes(call->from, call->machine);
@@ -106,7 +135,21 @@
     }
 }
 
+static void zone_halves(int zone) {
+    int found = 0;
+    for (int i = 0; i < world.machine_count; i++) {
+        struct sim_machine *machine = &world.machines[i];
+        if (!machine->exists || machine->dead || machine->zone != zone) continue;
+        if (found++ % 2) machine_dies(machine);
+    }
+}
+
+static bool of_zone(enum sim_fault_kind kind) {
+    return kind == SIM_LOSE_ZONE || kind == SIM_CUT_ZONE || kind == SIM_HALVE_ZONE;
+}
+
 static void begin(struct sim_fault *fault) {
+    if (fault->which < 0 && of_zone(fault->kind)) fault->which = sim_zones() - 1;
     if (fault->which < 0 && of_machine(fault->kind)) fault->which = busiest_machine();
     if (fault->which < 0 && of_node(fault->kind)) fault->which = sim_leader();
     switch (fault->kind) {
@@ -114,7 +157,12 @@
     case SIM_KILL_BRIEF: sim_node_kill(fault->which, sim_between(50, 400)); break;
     case SIM_HANG: world.machines[fault->which].hang_until = world.now + fault->lasts; break;
     case SIM_DIE: machine_dies(&world.machines[fault->which]); break;
-    case SIM_LOSE_ZONE: zone_dies(fault->which < 0 ? 1 : fault->which); break;
+    case SIM_LOSE_ZONE:
+        sim_zone_lost(fault->which);
+        zone_dies(fault->which);
+        break;
+    case SIM_CUT_ZONE: sim_zone_lost(fault->which); break;
+    case SIM_HALVE_ZONE: zone_halves(fault->which); break;
     case SIM_CANCEL_NOW: sim_cancel_burst(fault->which, fault->lasts); break;
     case SIM_UPGRADE: sim_begin_upgrade(fault); break;
     case SIM_DUTIES: sim_begin_duties(fault); break;
--- a/tests/standin/node_side.c
+++ b/tests/standin/node_side.c
@@ -21,7 +21,7 @@
 
 static void set_names(struct amb_settings *set, const struct sim_node_settings *from) {
     snprintf(set->member, sizeof set->member, "n%d", from->index);
-    snprintf(set->zone, sizeof set->zone, "%s", from->zones[from->index] ? "b" : "a");
+    snprintf(set->zone, sizeof set->zone, "%s", from->zone_names[from->zones[from->index]]);
     snprintf(set->front, sizeof set->front, "F%d:1", from->index);
     snprintf(set->peer_listen, sizeof set->peer_listen, "P%d:1", from->index);
     strcpy(set->state, "S:1");
@@ -31,9 +31,8 @@
         snprintf(set->peers[set->npeers].member, AMB_NAME, "n%d", k);
         snprintf(set->peers[set->npeers++].addr, AMB_NAME, "P%d:1", k);
     }
-    set->nzones = 2;
-    strcpy(set->zones[0], "a");
-    strcpy(set->zones[1], "b");
+    set->nzones = (uint32_t)from->zone_count;
+    for (int i = 0; i < from->zone_count; i++) strcpy(set->zones[i], from->zone_names[i]);
 }
 
 static void set_teams(struct amb_settings *set, const struct sim_node_settings *from) {
@@ -74,6 +73,9 @@
     amb_options_default(&node->opt);
 #ifndef AMB_PRODUCTION_SIDE
     node->opt.duties = settings->duties;
+    if (settings->keep_idle) node->opt.idle_return = 100;
+    node->opt.zone_recovery = settings->zone_recovery;
+    if (settings->recovery_order) strcpy(node->opt.zone_recovery_order, settings->recovery_order);
 #endif
     set_names(&node->set, settings);
     set_teams(&node->set, settings);
--- a/tests/standin/node_side.h
+++ b/tests/standin/node_side.h
@@ -9,13 +9,18 @@
 
 struct sim_node_settings {
     int index, nodes;
-    const int *zones; /* of each node: 0 or 1 */
+    const int *zones; /* of each node: its place among the names */
+    int zone_count;
+    const char *const *zone_names;
     int teams, team_limit;
     double report_s, lease_s, cancel_s, gang_wait_s, list_lag_s;
     double state_rps, cloud_rps;
     double write_rps, value_kb, txn_ops; /* of the state service, now */
     double memory_mb;
-    bool duties; /* the operators have switched single-holder duties on */
+    bool duties;                /* the operators have switched single-holder duties on */
+    bool keep_idle;             /* idle machines are not returned */
+    bool zone_recovery;         /* and zone recovery */
+    const char *recovery_order; /* their list of classes; NULL: none */
     double next_write_rps, next_value_kb, next_txn_ops; /* and once it has lowered its limits */
 };
 
--- a/tests/standin/nodes.c
+++ b/tests/standin/nodes.c
@@ -9,12 +9,19 @@
 #include <string.h>
 
 static void fill_settings(struct sim_node_settings *settings, int index, int zones[SIM_NODES]) {
+    static const char *zone_names[SIM_ZONES];
     const struct sim_size *size = world.size;
+    for (int i = 0; i < SIM_ZONES; i++) zone_names[i] = sim_zone_name(i);
     for (int i = 0; i < size->nodes; i++) zones[i] = sim_zone_of_node(i);
     *settings = (struct sim_node_settings){
         .index = index,
         .nodes = size->nodes,
         .zones = zones,
+        .zone_count = sim_zones(),
+        .zone_names = zone_names,
+        .keep_idle = world.load & SIM_LOAD_ZONAL,
+        .zone_recovery = world.load & SIM_LOAD_ZONE_RECOVERY,
+        .recovery_order = world.load & SIM_LOAD_REVERSED ? "drafts, assistant" : NULL,
         .teams = SIM_TEAMS,
         .team_limit = sim_team_limit(),
         .report_s = (double)size->report / 1000,
@@ -149,6 +156,13 @@
     return 0;
 }
 
+const struct amb_node *sim_leader_since(amb_ms before) {
+    const struct sim_node *leader = &world.nodes[sim_leader()];
+    if (!leads(leader) || leader->old) return NULL;
+    const struct amb_node *node = leader->node;
+    return node->ctl.ready && world.now - node->ctl.loaded_at > before ? node : NULL;
+}
+
 bool sim_leader_began(void) {
     bool began = false;
     for (int i = 0; i < world.size->nodes; i++) {
--- a/tests/standin/rules.c
+++ b/tests/standin/rules.c
@@ -47,10 +47,17 @@
 
 /* Tasks on other machines, as a start finds them. */
 struct crowd {
-    uint32_t in_zone[2]; /* of the same job */
+    uint32_t in_zone[SIM_ZONES]; /* of the same job */
     double team_gpus;
 };
 
+static uint32_t in_other_zones(const uint32_t in_zone[SIM_ZONES], int zone) {
+    uint32_t others = 0;
+    for (int other = 0; other < SIM_ZONES; other++)
+        if (other != zone) others += in_zone[other];
+    return others;
+}
+
 static void count_task(struct crowd *crowd, const struct sim_machine *machine, const struct sim_task *other,
                        const struct sim_task *task) {
     const struct sim_job *job = task->job;
@@ -63,7 +70,7 @@
 }
 
 static struct crowd count_tasks(const struct sim_task *task) {
-    struct crowd crowd = {{0, 0}, 0};
+    struct crowd crowd = {{0}, 0};
     for (int i = 0; i < world.machine_count; i++) {
         const struct sim_machine *machine = &world.machines[i];
         if (!machine->exists || machine->dead || world.now - machine->lease_from > world.size->lease)
@@ -101,12 +108,12 @@
     crowd.in_zone[machine->zone]++;
     if (crowd.team_gpus + spec->each.gpus > sim_team_limit()) sim_broken("quota: team of %s", task->ref);
     if (job->cancel_told) world.result.starts_after_cancel++;
-    if (spec->zone[0] && machine->zone != (spec->zone[0] == 'b'))
+    if (spec->zone[0] && machine->zone != sim_zone_of_name(spec->zone))
         sim_broken("wrong_place: %s on %s of another zone", task->ref, machine->name);
     if (machine->spot && !spec->spot) sim_broken("wrong_place: %s on spot %s", task->ref, machine->name);
     if (spec->spread && crowd.in_zone[machine->zone] > amb_place_spread_most(spec->tasks))
         sim_broken("wrong_place: spread of %s on %s", task->ref, machine->name);
-    if (spec->one_zone && crowd.in_zone[1 - machine->zone])
+    if (spec->one_zone && in_other_zones(crowd.in_zone, machine->zone))
         sim_broken("wrong_place: %s not in one zone, %s", task->ref, machine->name);
     if (past_cancel(job)) sim_broken("ran_cancelled: %s started on %s", task->ref, machine->name);
     check_needs(job);
@@ -235,7 +242,7 @@
 /* What runs where, for the checks of what must not last. */
 struct survey {
     uint64_t placed[SIM_JOBS]; /* a bit for each task */
-    uint32_t in_zone[SIM_JOBS][2];
+    uint32_t in_zone[SIM_JOBS][SIM_ZONES];
     double room[SIM_MACHINES]; /* free GPUs, of machines that could be given work */
     double team_gpus[SIM_TEAMS];
 };
@@ -269,8 +276,8 @@
     const uint32_t *in_zone = survey->in_zone[job - world.jobs];
     int zone = world.machines[machine].zone;
     if (world.machines[machine].spot && !spec->spot) return false;
-    if (spec->zone[0] && zone != (spec->zone[0] == 'b')) return false;
-    if (spec->one_zone && in_zone[1 - zone]) return false;
+    if (spec->zone[0] && zone != sim_zone_of_name(spec->zone)) return false;
+    if (spec->one_zone && in_other_zones(in_zone, zone)) return false;
     return !spec->spread || in_zone[zone] < amb_place_spread_most(spec->tasks);
 }
 
@@ -287,9 +294,13 @@
 static bool has_room(const struct survey *survey, const struct sim_job *job) {
     uint32_t together = job->spec.kind == AMB_GANG ? job->spec.tasks : 1;
     if (survey->team_gpus[team_of(job)] + together * job->spec.each.gpus > sim_team_limit()) return false;
-    uint32_t first = fitting(survey, job, 0), second = fitting(survey, job, 1);
-    if (job->spec.one_zone) return first >= together || second >= together;
-    return first + second >= together;
+    uint32_t all = 0, most = 0;
+    for (int zone = 0; zone < sim_zones(); zone++) {
+        uint32_t here = fitting(survey, job, zone);
+        all += here;
+        if (here > most) most = here;
+    }
+    return (job->spec.one_zone ? most : all) >= together;
 }
 
 static bool has_waiting_task(const struct survey *survey, const struct sim_job *job) {
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -17,7 +17,7 @@
     amb_ms report, lease, cancel;
     double rps, writes, cloud; /* calls a second: state service, its changes, cloud */
 };
-extern const struct sim_size sim_small, sim_grown, sim_fleet, sim_slow;
+extern const struct sim_size sim_small, sim_grown, sim_fleet, sim_slow, sim_zonal;
 
 enum sim_fault_kind {
     SIM_KILL,            /* node dies, comes back after a while */
@@ -62,6 +62,8 @@
                             they are switched off likewise */
     SIM_LOSE_ZONE,       /* all machines of a zone (-1: the second) stop for good */
     SIM_LATE_RETURNS, /* percent of calls that return machines are carried out 3 to 15 s later, unanswered */
+    SIM_CUT_ZONE,     /* all of a zone (-1: the last) can't reach anything outside of it */
+    SIM_HALVE_ZONE,   /* every second machine of a zone (-1: the last) stops for good */
     SIM_FAULTS,
 };
 
@@ -84,8 +86,20 @@
     SIM_LOAD_PIPELINES = 32,  /* jobs that await others, some cancelled on the way; jobs of many tasks */
     SIM_LOAD_LONG = 256,      /* tasks run ten times as long */
     SIM_LOAD_FLOOD = 128,     /* jobs of one short task, far more at a time than can run */
+    SIM_LOAD_ZONAL = 512, /* three zones, jobs of three classes (enum sim_class), more than half a zone has
+                             room for; limits that don't bind */
+    SIM_LOAD_ZONE_RECOVERY = 1024, /* the operators have switched zone recovery on */
+    SIM_LOAD_REVERSED = 2048,      /* and their list has the classes in the order that is not promised */
 };
 
+enum sim_class {                /* of zonal days, in the order in which they are to come back */
+                 SIM_ASSISTANT, /* replicas of the highest priority, spread over zones */
+                 SIM_DRAFTS,    /* replicas of the next */
+                 SIM_SWEEP,     /* batch */
+                 SIM_CLASSES,
+};
+extern const char *const sim_class_names[SIM_CLASSES];
+
 /* A day: everything in it follows from these. */
 struct sim_plan {
     const struct sim_size *size;
@@ -122,7 +136,13 @@
     uint32_t stale_refused;        /* calls of holders that the cloud refused for their token */
     uint32_t handovers;            /* changes of a duty's holder */
     uint32_t mode_changes;         /* of who rents and returns: leader or holders */
-    char broken[256];              /* the first rule broken; empty: none */
+    uint32_t lost_replicas[SIM_CLASSES]; /* with zones, each counted once */
+    amb_ms served_after[SIM_CLASSES];    /* the latest loss: all of them that are not cancelled; 0: not yet */
+    double worst_window;                 /* share of replicas that served, in the worst 30 s after a loss */
+    uint32_t killed;                     /* tasks, by the end of their machine's lease */
+    uint32_t killed_batch;               /* of them */
+    uint32_t machine_seconds;            /* that were paid for */
+    char broken[256];                    /* the first rule broken; empty: none */
 };
 
 /* Called when the code of a node begins to run, and with -1 when it ends; NULL: nobody watches. Outlives a
--- a/tests/standin/users.c
+++ b/tests/standin/users.c
@@ -16,7 +16,7 @@
 enum { CANCEL_AT_END_MS = 500 };
 
 int sim_team_limit(void) {
-    if (world.load & SIM_LOAD_CROWDED) return SIM_MACHINE_GPUS * world.size->machines;
+    if (world.load & (SIM_LOAD_CROWDED | SIM_LOAD_ZONAL)) return SIM_MACHINE_GPUS * world.size->machines;
     if (world.load & SIM_LOAD_TIGHT_TEAMS)
         return world.size->machines / 2 > SIM_MACHINE_GPUS ? world.size->machines / 2 : SIM_MACHINE_GPUS;
     return 2 * world.size->machines;
@@ -307,6 +307,26 @@
     amb_timer_set(&job->timer, asks_before ? world.now + ASK_EARLY_MS : job->at, user_acts, job);
 }
 
+/* Replicas of two priorities that last, and batch work all day long. */
+static void draw_zonal_job(int number, amb_ms length) {
+    enum { LAST_SERVICE_MS = 20000 };
+    struct sim_job *job = sim_job_new();
+    struct amb_spec *spec = &job->spec;
+    enum sim_class class = number % 4 < SIM_SWEEP ? (enum sim_class)(number % 4) : SIM_SWEEP;
+    sim_draw_spec(spec);
+    strcpy(spec->class_name, sim_class_names[class]);
+    spec->kind = class == SIM_SWEEP ? AMB_ARRAY : AMB_SERVICE;
+    spec->priority = class == SIM_ASSISTANT ? AMB_PROD : class == SIM_DRAFTS ? AMB_HIGH : AMB_BEST_EFFORT;
+    spec->tasks = (uint32_t)sim_between(2, class == SIM_SWEEP ? (amb_ms)world.size->tasks : 4);
+    spec->each.gpus = class == SIM_SWEEP ? 1 : 2;
+    spec->estimate_s = class == SIM_SWEEP ? (double)sim_between(10, 40) : 0;
+    spec->one_zone = false;
+    spec->spread = class == SIM_ASSISTANT;
+    spec->spot = false; /* spot machines would take the cloud's room from replicas */
+    job->at = world.now + sim_between(2000, class == SIM_SWEEP ? length * 3 / 4 : LAST_SERVICE_MS);
+    amb_timer_set(&job->timer, job->at, user_acts, job);
+}
+
 static struct sim_job *array_new(amb_ms at, uint32_t tasks, double seconds) {
     struct sim_job *job = sim_job_new();
     sim_draw_spec(&job->spec);
@@ -353,7 +373,13 @@
 }
 
 void sim_draw_jobs(amb_ms length) {
-    for (int i = 0; i < world.size->jobs; i++) draw_job(length);
+    bool zonal = world.load & SIM_LOAD_ZONAL;
+    for (int i = 0; i < world.size->jobs; i++) {
+        if (zonal)
+            draw_zonal_job(i, length);
+        else
+            draw_job(length);
+    }
     if (world.load & SIM_LOAD_STREAM) draw_stream(length);
     if (world.load & SIM_LOAD_UNEVEN) draw_uneven(length);
     if (world.load & SIM_LOAD_CROWDED) draw_crowd(length);
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -109,6 +109,11 @@
 
 static void expire_lease(struct sim_machine *machine) { /* kills all its tasks and forgets them */
     if (world.now - machine->lease_from <= world.size->lease) return;
+    for (uint32_t i = 0; i < machine->task_count; i++) {
+        if (machine->tasks[i].on == AMB_ON_EXITED) continue;
+        world.result.killed++;
+        world.result.killed_batch += machine->tasks[i].job->spec.kind != AMB_SERVICE;
+    }
     machine->task_count = 0;
     machine->session++;
     machine->seq = 0;
@@ -197,6 +202,7 @@
     task->image_at = world.now + sim_pace.fetch;
     world.result.ordered++;
     sim_check_order(sim_job_of(order->ref), issued);
+    sim_check_recovery(machine, task);
     if (busy)
         exit_task(machine, task, AMB_WHY_BUSY);
     else if (full)
@@ -242,7 +248,7 @@
     sim_machine_address((int)(machine - world.machines), text);
     amb_w_str(b, "address"), amb_w_str(b, text);
     amb_w_str(b, "hull"), amb_w_str(b, "g8");
-    amb_w_str(b, "yard"), amb_w_str(b, machine->zone ? "b" : "a");
+    amb_w_str(b, "yard"), amb_w_str(b, sim_zone_name(machine->zone));
     amb_w_str(b, "driftwood"), amb_w_bool(b, machine->spot);
     amb_w_str(b, "watch"), amb_w_uint(b, machine->session);
     amb_w_str(b, "tally"), amb_w_uint(b, machine->seq);
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -37,7 +37,10 @@
        SIM_NEXT_VALUE_BYTES = 1024, /* once the state service has lowered its limits */
        SIM_NEXT_TXN_OPS = 4,
        SIM_TEAMS = 2,
+       SIM_ZONES = 3, /* at most */
+       SIM_WINDOW_S = 30,
 };
+static const double SIM_ZONE_STEADY = 0.5; /* as the options have it */
 
 struct sim_pace { /* of the cloud and its machines, as a rule */
     amb_ms list_lag, boot, fetch;
@@ -215,6 +218,14 @@
     int node; /* -1: any */
 };
 
+struct sim_recovery {
+    amb_ms lost_at;                          /* the latest loss of a zone; 0: none yet */
+    uint64_t lost[SIM_JOBS];                 /* a bit for each task that was lost with a zone */
+    uint64_t served_once[SIM_JOBS];          /* likewise, that has ever served */
+    double window[SIM_WINDOW_S], window_sum; /* shares of replicas that served in the last seconds */
+    uint64_t seconds;
+};
+
 struct sim_kept_report { /* for the next leader */
     int machine;
     struct amb_buf body;
@@ -253,6 +264,7 @@
     uint32_t kept_count;
     struct sim_job jobs[SIM_JOBS];
     int job_count;
+    struct sim_recovery recovery;
     struct sim_errand errands[SIM_ERRANDS];
     int last_errand;
     struct amb_timer odd_timer;
@@ -333,6 +345,16 @@
 void sim_begin_faults(void); /* those that are due */
 amb_ms sim_troubles_over(void);
 
+int sim_zones(void); /* of the day */
+const char *sim_zone_name(int zone);
+int sim_zone_of_name(const char *name); /* the first one's if no zone has it */
+
+/* recovery.c */
+void sim_zone_lost(int zone);
+void sim_recovery_second(void);
+void sim_recovery_end(void);                                                             /* of the day */
+void sim_check_recovery(const struct sim_machine *machine, const struct sim_task *task); /* ordered to run */
+
 /* rules.c */
 void sim_broken(const char *format, ...) __attribute__((format(printf, 1, 2)));
 void sim_check_start(const struct sim_machine *machine, const struct sim_task *task);
@@ -355,6 +377,8 @@
 void sim_node_kill(int index, amb_ms back);
 int sim_switch_to(int node); /* the code that runs next is this node's (-1: no node's); returns whose ran */
 int sim_leader(void);
+/* A leader of the present version that has known the records for longer than so long; NULL: there is none. */
+const struct amb_node *sim_leader_since(amb_ms before);
 bool sim_leader_began(void); /* has a node begun to lead since the last call? */
 
 #endif
--- /dev/null
+++ b/tests/standin/zone_days.c
@@ -0,0 +1,115 @@
+/* Days on which a zone is lost or flaps, with zone recovery and without, on the same seeds: the time until
+ * each class serves again, replica time in the worst 30 s, work that was killed, starts and machine time.
+ * Long, outside of CI:
+ *
+ *   zone_days FIRST LAST */
+#include "standin.h"
+
+#include <gsl/gsl_histogram.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum { DAY_MS = 200000, OVERTIME_MS = 300000, LOSS_MS = 50000, ZONE = 1, FAULTS = 4, SIDES = 2 };
+
+static const struct scenario {
+    const char *name;
+    struct sim_fault faults[FAULTS];
+    size_t count;
+} scenarios[] = {
+    {"one cut of 38 s", {{SIM_CUT_ZONE, LOSS_MS, 38000, ZONE}}, 1},
+    {"lost for good", {{SIM_LOSE_ZONE, LOSS_MS, 1, ZONE}}, 1},
+    {"three cuts of 26 s, pauses of 4 s",
+     {{SIM_CUT_ZONE, LOSS_MS, 26000, ZONE},
+      {SIM_CUT_ZONE, LOSS_MS + 30000, 26000, ZONE},
+      {SIM_CUT_ZONE, LOSS_MS + 60000, 26000, ZONE}},
+     3},
+    {"three cuts of 12 s, pauses of 12 s",
+     {{SIM_CUT_ZONE, LOSS_MS, 12000, ZONE},
+      {SIM_CUT_ZONE, LOSS_MS + 24000, 12000, ZONE},
+      {SIM_CUT_ZONE, LOSS_MS + 48000, 12000, ZONE}},
+     3},
+};
+enum { SCENARIOS = sizeof scenarios / sizeof *scenarios };
+
+/* More replicas than two zones have room for. */
+static const struct sim_size size = {5, 24, 64, 16, 3, 1000, 10000, 30000, 400, 60, 6};
+
+enum figure { ASSISTANT_S, DRAFTS_S, WORST_WINDOW, KILLED, KILLED_BATCH, STARTS, MACHINE_S, FIGURES };
+
+static const struct {
+    const char *name;
+    double most;
+    size_t bins;
+} figures[FIGURES] = {
+    {"assistant serves again, s", 300, 300},
+    {"drafts serve again, s", 300, 300},
+    {"replica time in the worst 30 s", 1.0001, 1000},
+    {"tasks killed by their lease", 1000, 1000},
+    {"of these batch", 1000, 1000},
+    {"starts", 10000, 2000},
+    {"machine seconds", 20000, 2000},
+};
+
+static double value_of(enum figure figure, const struct sim_result *r) {
+    switch (figure) {
+    case ASSISTANT_S: return (double)r->served_after[SIM_ASSISTANT] / 1000;
+    case DRAFTS_S: return (double)r->served_after[SIM_DRAFTS] / 1000;
+    case WORST_WINDOW: return r->worst_window;
+    case KILLED: return r->killed;
+    case KILLED_BATCH: return r->killed_batch;
+    case STARTS: return r->starts;
+    case MACHINE_S: return r->machine_seconds;
+    case FIGURES: break;
+    }
+    return 0;
+}
+
+static double quantile(const gsl_histogram *histogram, double share) {
+    double sum = gsl_histogram_sum(histogram), seen = 0, low = 0, high = 0;
+    for (size_t i = 0; i < gsl_histogram_bins(histogram); i++) {
+        seen += gsl_histogram_get(histogram, i);
+        gsl_histogram_get_range(histogram, i, &low, &high);
+        if (seen >= share * sum) break;
+    }
+    return low;
+}
+
+static void play(const struct scenario *scenario, uint64_t seed, bool recovery, gsl_histogram **side) {
+    unsigned load = SIM_LOAD_ZONAL | (recovery ? SIM_LOAD_ZONE_RECOVERY : 0);
+    const struct sim_plan plan = {&size, seed, DAY_MS, load, scenario->faults, scenario->count};
+    struct sim_result r = sim_play_until_done(&plan, OVERTIME_MS);
+    if (r.broken[0])
+        printf("%s, seed %llu, %s: %s\n", scenario->name, (unsigned long long)seed,
+               recovery ? "with" : "without", r.broken);
+    for (int figure = 0; figure < FIGURES; figure++)
+        gsl_histogram_increment(side[figure], value_of((enum figure)figure, &r));
+}
+
+static void print(const struct scenario *scenario, gsl_histogram *sides[SIDES][FIGURES]) {
+    printf("%s: mean, median, p90, without -> with\n", scenario->name);
+    for (int figure = 0; figure < FIGURES; figure++) {
+        const gsl_histogram *without = sides[0][figure], *with = sides[1][figure];
+        printf("  %-32s %8.2f %8.2f %8.2f -> %8.2f %8.2f %8.2f\n", figures[figure].name,
+               gsl_histogram_mean(without), quantile(without, 0.5), quantile(without, 0.9),
+               gsl_histogram_mean(with), quantile(with, 0.5), quantile(with, 0.9));
+    }
+}
+
+int main(int argc, char **argv) {
+    if (argc != 3) return 2;
+    uint64_t first = strtoull(argv[1], NULL, 10), last = strtoull(argv[2], NULL, 10);
+    for (int i = 0; i < SCENARIOS; i++) {
+        gsl_histogram *sides[SIDES][FIGURES];
+        for (int side = 0; side < SIDES; side++)
+            for (int figure = 0; figure < FIGURES; figure++) {
+                sides[side][figure] = gsl_histogram_alloc(figures[figure].bins);
+                gsl_histogram_set_ranges_uniform(sides[side][figure], 0, figures[figure].most);
+            }
+        for (uint64_t seed = first; seed <= last; seed++)
+            for (int side = 0; side < SIDES; side++) play(&scenarios[i], seed, side, sides[side]);
+        print(&scenarios[i], sides);
+        for (int side = 0; side < SIDES; side++)
+            for (int figure = 0; figure < FIGURES; figure++) gsl_histogram_free(sides[side][figure]);
+    }
+    return 0;
+}
--- a/tests/test_place.c
+++ b/tests/test_place.c
@@ -27,33 +27,30 @@
         bool soon;
         int want;
     } rows[] = {
-        {"the image at hand", {{8, 1, 40}, 3, -1, false, none, 0, false, AMB_HIGH, false, false}, false, 3},
+        {"the image at hand", {{8, 1, 40}, 3, -1, false, none, 0, false, .priority = AMB_HIGH}, false, 3},
         {"the fullest that takes it",
-         {{8, 2, 40}, 3, -1, false, none, 0, false, AMB_HIGH, false, false},
+         {{8, 2, 40}, 3, -1, false, none, 0, false, .priority = AMB_HIGH},
          false,
          1},
-        {"spot for those who may",
-         {{8, 2, 40}, 3, -1, true, none, 0, false, AMB_HIGH, false, false},
-         false,
-         2},
+        {"spot for those who may", {{8, 2, 40}, 3, -1, true, none, 0, false, .priority = AMB_HIGH}, false, 2},
         {"too large for the half full",
-         {{8, 5, 40}, 3, -1, false, none, 0, false, AMB_HIGH, false, false},
+         {{8, 5, 40}, 3, -1, false, none, 0, false, .priority = AMB_HIGH},
          false,
          0},
-        {"only in B, no spot", {{8, 2, 40}, 3, B, false, none, 0, false, AMB_HIGH, false, false}, false, -1},
-        {"room that comes", {{16, 2, 80}, 3, B, false, none, 0, false, AMB_HIGH, false, false}, true, 3},
-        {"another type", {{8, 1, 40}, 1, -1, false, none, 0, false, AMB_HIGH, false, false}, false, 1},
-        {"no such type", {{8, 1, 40}, 4, -1, false, none, 0, false, AMB_HIGH, false, false}, false, -1},
+        {"only in B, no spot", {{8, 2, 40}, 3, B, false, none, 0, false, .priority = AMB_HIGH}, false, -1},
+        {"room that comes", {{16, 2, 80}, 3, B, false, none, 0, false, .priority = AMB_HIGH}, true, 3},
+        {"another type", {{8, 1, 40}, 1, -1, false, none, 0, false, .priority = AMB_HIGH}, false, 1},
+        {"no such type", {{8, 1, 40}, 4, -1, false, none, 0, false, .priority = AMB_HIGH}, false, -1},
         {"spread: A has its half",
-         {{8, 1, 40}, 1, -1, true, two_in_a, 2, false, AMB_HIGH, false, false},
+         {{8, 1, 40}, 1, -1, true, two_in_a, 2, false, .priority = AMB_HIGH},
          false,
          2},
         {"spread: nowhere else",
-         {{8, 2, 40}, 1, -1, false, two_in_a, 2, false, AMB_HIGH, false, false},
+         {{8, 2, 40}, 1, -1, false, two_in_a, 2, false, .priority = AMB_HIGH},
          false,
          -1},
-        {"memory counts", {{8, 1, 501}, 3, -1, true, none, 0, false, AMB_HIGH, false, false}, false, -1},
-        {"cores count", {{65, 1, 10}, 3, -1, true, none, 0, false, AMB_HIGH, false, false}, false, -1},
+        {"memory counts", {{8, 1, 501}, 3, -1, true, none, 0, false, .priority = AMB_HIGH}, false, -1},
+        {"cores count", {{65, 1, 10}, 3, -1, true, none, 0, false, .priority = AMB_HIGH}, false, -1},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
         check_pick(rows[i].what, &rows[i].wish, slots, ROWS(slots), rows[i].soon, rows[i].want);
@@ -86,8 +83,8 @@
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
         for (int patient = 0; patient < 2; patient++) {
-            struct amb_wish w = {rows[i].need,    1,       rows[i].zone, true, none, 0, false,
-                                 AMB_BEST_EFFORT, patient, false};
+            struct amb_wish w = {rows[i].need,      1, rows[i].zone, true, none, 0, false, AMB_BEST_EFFORT,
+                                 .patient = patient};
             check_pick(rows[i].what, &w, slots, ROWS(slots), false, rows[i].want);
         }
     }
@@ -101,7 +98,7 @@
         {{64, 2, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 6, -1, 0, 0, .claimed = false},
         {{64, 4, 500}, {0, 0, 0}, 8, 0, A, false, false, true, 1, NULL, 2, -1, 4, 0, .claimed = false},
     };
-    struct amb_wish w = {{8, 2, 40}, 1, -1, false, none, 0, true, AMB_HIGH, false, false};
+    struct amb_wish w = {{8, 2, 40}, 1, -1, false, none, 0, true, .priority = AMB_HIGH};
     assert_int_equal(amb_place_pick(&w, slots, ROWS(slots), false), 1);
     w.lasting = false;
     assert_int_equal(amb_place_pick(&w, slots, ROWS(slots), false), 0);
@@ -127,15 +124,23 @@
         {AMB_BEST_EFFORT, true, true, 1, 0},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
-        struct amb_wish w = {{8, 1, 40},      1, -1, false, none, 0, false, rows[i].priority, rows[i].patient,
-                             rows[i].can_wait};
+        struct amb_wish w = {{8, 1, 40},
+                             1,
+                             -1,
+                             false,
+                             none,
+                             0,
+                             false,
+                             rows[i].priority,
+                             rows[i].patient,
+                             .can_wait = rows[i].can_wait};
         int got = amb_place_pick(&w, slots, rows[i].slots, false);
         if (got != rows[i].want) fail_msg("row %zu: %d", i, got);
     }
     /* What a gang has claimed is not for batch work at all, or the room made would be taken as it comes. */
     struct amb_slot claimed = slots[0];
     claimed.claimed = true;
-    struct amb_wish w = {{8, 1, 40}, 1, -1, false, none, 0, false, AMB_NORMAL, true, false};
+    struct amb_wish w = {{8, 1, 40}, 1, -1, false, none, 0, false, AMB_NORMAL, true, .can_wait = false};
     assert_int_equal(amb_place_pick(&w, &claimed, 1, false), -1);
     w.patient = false;
     assert_int_equal(amb_place_pick(&w, &claimed, 1, false), 0);
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -45,6 +45,8 @@
     "duties",
     "lost zone",
     "late returns",
+    "cut zone",
+    "half a zone",
 };
 _Static_assert(ROWS(names) == SIM_FAULTS, "a name for each kind of fault");
 
--- /dev/null
+++ b/tests/test_zone_health.c
@@ -0,0 +1,268 @@
+/* Health of a zone: settings, each change of verdict by tables, and drawn evidence against a plain oracle
+ * that keeps sets as arrays. */
+#include "amberpin/zone_recovery/health.h"
+#include "check.h"
+
+enum { REPORT = 1000, STEADY = 5000, LONGEST = 20000, FORGOTTEN = 100000, MACHINES = 20 };
+
+static const struct amb_zone_settings settings = {REPORT, STEADY, LONGEST, FORGOTTEN};
+
+/* ---- settings ---- */
+
+static void settings_that_cannot_work(void **state) {
+    (void)state;
+    static const struct {
+        struct amb_zone_settings settings;
+        enum amb_zone_settings_error error;
+    } rows[] = {
+        {{REPORT, STEADY, LONGEST, FORGOTTEN}, AMB_ZONE_SETTINGS_GOOD},
+        {{REPORT, REPORT, REPORT, REPORT}, AMB_ZONE_SETTINGS_GOOD},
+        {{REPORT, REPORT - 1, LONGEST, FORGOTTEN}, AMB_ZONE_SETTINGS_SHORT_STEADY},
+        {{REPORT, STEADY, STEADY - 1, FORGOTTEN}, AMB_ZONE_SETTINGS_LOW_BOUND},
+        {{REPORT, STEADY, LONGEST, LONGEST - 1}, AMB_ZONE_SETTINGS_SHORT_MEMORY},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        enum amb_zone_settings_error error = amb_zone_settings_check(&rows[i].settings);
+        if (error != rows[i].error) fail_msg("row %zu: %d", i, (int)error);
+        assert_int_equal(*amb_zone_settings_allowed(error) == 0, error == AMB_ZONE_SETTINGS_GOOD);
+    }
+}
+
+/* ---- tables ---- */
+
+struct seen { /* at one moment: machines 0 to expected - 1 should answer, those in the list do not */
+    amb_ms at;
+    uint32_t expected, first_silent, silent;
+    bool deputy, nobody;
+    enum amb_zone_verdict verdict;
+};
+
+static roaring_bitmap_t *machines(uint32_t from, uint32_t count) {
+    return count ? roaring_bitmap_from_range(from, from + count, 1) : roaring_bitmap_create();
+}
+
+static bool see(struct amb_zone_health *health, const struct seen *seen) {
+    roaring_bitmap_t *expected = machines(0, seen->expected), *answering = roaring_bitmap_copy(expected);
+    roaring_bitmap_t *silent = machines(seen->first_silent, seen->silent);
+    roaring_bitmap_andnot_inplace(answering, silent);
+    const struct amb_zone_evidence evidence = {expected, answering, seen->deputy, seen->nobody};
+    bool changed = amb_zone_health_update(health, &settings, &evidence, seen->at);
+    roaring_bitmap_free(expected);
+    roaring_bitmap_free(answering);
+    roaring_bitmap_free(silent);
+    return changed;
+}
+
+#define H AMB_ZONE_HEALTHY
+#define S AMB_ZONE_SUSPECT
+#define L AMB_ZONE_LOST
+#define R AMB_ZONE_RETURNING
+
+static void verdicts(void **state) {
+    (void)state;
+    enum { LOOKS = 12, N = MACHINES };
+    static const struct {
+        const char *what;
+        struct seen looks[LOOKS];
+    } rows[] = {
+        {"a few silent machines are no loss", {{1, N, 0, 2, 0, 0, H}, {2, N, 0, 6, 0, 0, H}}},
+        {"a good part is suspected", {{1, N, 0, 7, 0, 0, S}, {2, N, 0, 17, 0, 0, S}, {3, N, 0, 6, 0, 0, H}}},
+        {"nine in ten are a loss, at once", {{1, N, 0, 18, 0, 0, L}}},
+        {"a small zone of which two are silent", {{1, 2, 0, 2, 0, 0, H}}},
+        {"a cut between zones is no loss", {{1, N, 0, N, 1, 0, S}, {2, N, 0, 0, 0, 0, H}}},
+        {"nor is a leader that hears nobody", {{1, N, 0, N, 0, 1, S}, {2, N, 0, N, 0, 0, L}}},
+        {"lost, and nobody heard: still lost", {{1, N, 0, N, 0, 0, L}, {2, N, 0, 0, 0, 1, L}}},
+        {"a lost zone whose deputy is heard of returns", {{1, N, 0, N, 0, 0, L}, {2, N, 0, N, 1, 0, R}}},
+        {"steady for as long as is asked",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 0, 0, 0, R},
+          {5999, N, 0, 0, 0, 0, R},
+          {6000, N, 0, 0, 0, 0, H}}},
+        {"half a zone is used as half a zone",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 10, 0, 0, R},
+          {6000, N, 0, 10, 0, 0, S},
+          {7000, 10, 0, 0, 0, 0, H}}},
+        {"an empty zone is tried again",
+         {{1, N, 0, N, 0, 0, L}, {1000, 0, 0, 0, 0, 0, R}, {6000, 0, 0, 0, 0, 0, H}}},
+        {"machines that fall silent begin the time anew",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 0, 0, 0, R},
+          {4000, N, 0, 5, 0, 0, R},
+          {6000, N, 0, 0, 0, 0, R},
+          {9000, N, 0, 0, 0, 0, H}}},
+        {"two that do are a matter of their own",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 0, 0, 0, R},
+          {4000, N, 0, 2, 0, 0, R},
+          {6000, N, 0, 2, 0, 0, H}}},
+        {"machines that were returned have not fallen silent",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 0, 0, 0, R},
+          {4000, 10, 0, 0, 0, 0, R},
+          {6000, 10, 0, 0, 0, 0, H}}},
+        {"returning, and nobody heard",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 0, 0, 0, R},
+          {4000, N, 0, N, 0, 1, R},
+          {6000, N, 0, 0, 0, 0, R}}},
+        {"each flap doubles the time, up to the bound",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 0, 0, 0, R},
+          {2000, N, 0, N, 0, 0, L},
+          {3000, N, 0, 0, 0, 0, R},
+          {12999, N, 0, 0, 0, 0, R},
+          {13000, N, 0, 0, 0, 0, H},
+          {14000, N, 0, N, 0, 0, L},
+          {15000, N, 0, 0, 0, 0, R},
+          {16000, N, 0, N, 0, 0, L},
+          {17000, N, 0, 0, 0, 0, R},
+          {36999, N, 0, 0, 0, 0, R},
+          {37000, N, 0, 0, 0, 0, H}}},
+        {"a loss is forgotten in time",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 0, 0, 0, R},
+          {6000, N, 0, 0, 0, 0, H},
+          {106000, N, 0, N, 0, 0, L},
+          {107000, N, 0, 0, 0, 0, R},
+          {112000, N, 0, 0, 0, 0, H}}},
+        {"but not sooner",
+         {{1, N, 0, N, 0, 0, L},
+          {1000, N, 0, 0, 0, 0, R},
+          {6000, N, 0, 0, 0, 0, H},
+          {105999, N, 0, N, 0, 0, L},
+          {107000, N, 0, 0, 0, 0, R},
+          {112000, N, 0, 0, 0, 0, R}}},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_zone_health health = {.verdict = AMB_ZONE_HEALTHY};
+        for (size_t k = 0; k < LOOKS && rows[i].looks[k].at; k++) {
+            enum amb_zone_verdict before = health.verdict;
+            bool changed = see(&health, &rows[i].looks[k]);
+            if (health.verdict != rows[i].looks[k].verdict)
+                fail_msg("%s: look %zu: %s", rows[i].what, k, amb_zone_verdict_name(health.verdict));
+            assert_int_equal(changed, health.verdict != before);
+        }
+        amb_zone_health_free(&health);
+    }
+}
+
+static void a_successor_begins_the_steady_time_anew(void **state) {
+    (void)state;
+    struct amb_zone_health health = {.verdict = AMB_ZONE_HEALTHY};
+    amb_zone_health_restore(&health, AMB_ZONE_RETURNING, 2, 1000);
+    see(&health, &(struct seen){.at = 10999, .expected = MACHINES});
+    assert_int_equal(health.verdict, AMB_ZONE_RETURNING);
+    see(&health, &(struct seen){.at = 11000, .expected = MACHINES});
+    assert_int_equal(health.verdict, AMB_ZONE_HEALTHY);
+    amb_zone_health_free(&health);
+}
+
+/* A leader that never saw a zone go frees nothing; the library takes no NULL. */
+static void nothing_is_freed_of_a_zone_that_was_never_lost(void **state) {
+    (void)state;
+    struct amb_zone_health health = {.verdict = AMB_ZONE_HEALTHY};
+    amb_zone_health_free(&health);
+    amb_zone_health_free(&health);
+}
+
+static void names_are_read_back(void **state) {
+    (void)state;
+    enum amb_zone_verdict read;
+    for (int i = 0; i < AMB_ZONE_VERDICTS; i++) {
+        assert_true(amb_zone_verdict_parse(amb_zone_verdict_name((enum amb_zone_verdict)i), &read));
+        assert_int_equal(read, i);
+    }
+    assert_false(amb_zone_verdict_parse("gone", &read));
+}
+
+/* ---- drawn evidence ---- */
+
+static uint64_t seed;
+
+static uint32_t draw(uint32_t below) {
+    seed ^= seed << 13, seed ^= seed >> 7, seed ^= seed << 17;
+    return (uint32_t)(seed % below);
+}
+
+/* What may never happen, by plain arrays: batch work is admitted after a loss only when, for the steady time
+ * that the losses ask for, at most two or a tenth of the machines that answered fell silent at once. */
+struct oracle {
+    bool lost, answered[MACHINES];
+    amb_ms steady_since;
+    uint32_t losses;
+};
+
+static uint32_t count_dropped(const struct oracle *oracle, const bool answers[MACHINES], uint32_t *steady) {
+    uint32_t dropped = 0;
+    *steady = 0;
+    for (int i = 0; i < MACHINES; i++) {
+        *steady += oracle->answered[i];
+        dropped += oracle->answered[i] && !answers[i];
+    }
+    return dropped;
+}
+
+static void oracle_see(struct oracle *oracle, const bool answers[MACHINES], amb_ms at) {
+    uint32_t silent = 0, steady;
+    for (int i = 0; i < MACHINES; i++) silent += !answers[i];
+    bool away = silent * 10 >= MACHINES * 9;
+    uint32_t dropped = count_dropped(oracle, answers, &steady);
+    bool anew = away || oracle->lost || (dropped > 2 && dropped * 10 > steady);
+    if (away && !oracle->lost) oracle->losses++;
+    oracle->lost = away;
+    if (anew) oracle->steady_since = at;
+    for (int i = 0; i < MACHINES; i++) oracle->answered[i] = answers[i] || (!anew && oracle->answered[i]);
+}
+
+static amb_ms oracle_asks(const struct oracle *oracle) {
+    amb_ms steady = STEADY;
+    for (uint32_t i = 1; i < oracle->losses && steady < LONGEST; i++) steady *= 2;
+    return steady < LONGEST ? steady : LONGEST;
+}
+
+static void drawn_evidence_against_a_plain_oracle(void **state) {
+    (void)state;
+    uint32_t admitted = 0, lost = 0;
+    for (uint64_t run = 1; run <= 300; run++) {
+        seed = run * 0x9e3779b97f4a7c15u;
+        struct amb_zone_health health = {.verdict = AMB_ZONE_HEALTHY};
+        struct oracle oracle = {.lost = false};
+        uint32_t silence = 0;
+        for (amb_ms at = 500; at < 60000; at += 500) {
+            if (!draw(12)) silence = draw(4) ? draw(5) : 100; /* percent */
+            bool answers[MACHINES];
+            roaring_bitmap_t *expected = machines(0, MACHINES), *answering = roaring_bitmap_create();
+            for (uint32_t i = 0; i < MACHINES; i++)
+                if ((answers[i] = draw(100) >= silence)) roaring_bitmap_add(answering, i);
+            const struct amb_zone_evidence evidence = {expected, answering, false, false};
+            amb_zone_health_update(&health, &settings, &evidence, at);
+            oracle_see(&oracle, answers, at);
+            bool admits = amb_zone_verdict_admits_batch(health.verdict);
+            bool may = !oracle.losses || (!oracle.lost && at - oracle.steady_since >= oracle_asks(&oracle));
+            if (admits && !may && health.sound_since == at)
+                fail_msg("run %llu at %lld", (unsigned long long)run, (long long)at);
+            if (oracle.lost && admits)
+                fail_msg("run %llu at %lld: lost", (unsigned long long)run, (long long)at);
+            admitted += admits && oracle.losses;
+            lost += oracle.lost;
+            roaring_bitmap_free(expected);
+            roaring_bitmap_free(answering);
+        }
+        amb_zone_health_free(&health);
+    }
+    if (admitted < 1000 || lost < 1000)
+        fail_msg("%u looks at zones that are back, %u at lost ones", admitted, lost);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(settings_that_cannot_work),
+        cmocka_unit_test(verdicts),
+        cmocka_unit_test(a_successor_begins_the_steady_time_anew),
+        cmocka_unit_test(nothing_is_freed_of_a_zone_that_was_never_lost),
+        cmocka_unit_test(names_are_read_back),
+        cmocka_unit_test(drawn_evidence_against_a_plain_oracle),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/test_zone_recovery.c
@@ -0,0 +1,343 @@
+/* Zone recovery in a leader: what is refused in its settings, which work may start where, what is kept for
+ * what was lost, and the record from which a successor goes on. */
+#include "amberpin/plan.h"
+#include "amberpin/round.h"
+#include "amberpin/wdrr.h"
+#include "check.h"
+#include "fake_clock.h"
+#include "fake_http.h"
+#include "leader_fixture.h"
+
+#define ZONES_KEY "b/zones"
+
+enum { ZONE_A, ZONE_B, MACHINES = 4, FIRST_STAMP = 60 };
+
+/* ---- settings ---- */
+
+static void settings_are_refused(void **state) {
+    (void)state;
+    static const struct {
+        const char *order;
+        double steady, longest, forgotten;
+        const char *complaint; /* NULL: fine */
+    } rows[] = {
+        {"", 0.5, 2, 10, NULL},
+        {"train, serve", 0.5, 2, 10, NULL},
+        {"", 0.01, 2, 10, "o.xml: zone-steady must be at least a report period"},
+        {"", 0.5, 0.4, 10, "o.xml: zone-steady-longest must be at least zone-steady"},
+        {"", 0.5, 2, 1, "o.xml: zone-loss-forgotten must be at least zone-steady-longest"},
+        {"train, sort", 0.5, 2, 10, "o.xml: zone-recovery-order: 'sort' is no class that objectives name"},
+        {"train serve,train", 0.5, 2, 10, "o.xml: zone-recovery-order: 'train' stands there twice"},
+    };
+    node->set.nobjectives = 2;
+    strcpy(node->set.objectives[0].class_name, "train");
+    strcpy(node->set.objectives[1].class_name, "serve");
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_options options = {.zone_recovery = 1,
+                                      .zone_steady = rows[i].steady,
+                                      .zone_steady_longest = rows[i].longest,
+                                      .zone_loss_forgotten = rows[i].forgotten};
+        char err[256] = "";
+        strcpy(options.zone_recovery_order, rows[i].order);
+        bool good = amb_zone_recovery_check(&node->set, &options, "o.xml", err, sizeof err);
+        if (good != !rows[i].complaint || (!good && !strstr(err, rows[i].complaint)))
+            fail_msg("row %zu: '%s'", i, err);
+        options.zone_recovery = 0;
+        assert_true(amb_zone_recovery_check(&node->set, &options, "o.xml", err, sizeof err));
+    }
+}
+
+/* ---- a leader with two zones ---- */
+
+static void switch_on(void) {
+    amb_options_default(&node->opt);
+    node->opt.zone_recovery = 1;
+    node->formats.written = AMB_FORMAT_2;
+    amb_zone_recovery_init(node);
+    amb_wdrr_prepare(node->set.teams, node->set.nteams, true);
+    amb_catalog_zone(&node->catalog, "a");
+    amb_catalog_zone(&node->catalog, "b");
+    for (int i = 0; i < 2 * MACHINES; i++) {
+        char name[AMB_NAME];
+        snprintf(name, sizeof name, "m-%d", i);
+        machine_up(name, i % 2);
+    }
+    fake_clock_advance(10000);
+}
+
+/* Machines of the other zones have just reported. */
+static void silent_zone(int silent) {
+    for (struct amb_machine *machine = node->fleet.all; machine; machine = machine->hh.next)
+        if (machine->zone != silent) machine->reported_at = machine->answered_at = amb_now();
+    node->election.renewed_at = amb_now();
+    node->rental.list_at = amb_now();
+    amb_zones_tick(node, amb_now());
+}
+
+static enum amb_zone_verdict verdict(int zone) {
+    return node->zone_recovery.zones[zone].verdict;
+}
+
+/* Zone b is lost, and back but not steady. */
+static void lose_and_return(void) {
+    silent_zone(ZONE_B);
+    assert_int_equal(verdict(ZONE_B), AMB_ZONE_LOST);
+    silent_zone(-1);
+    assert_int_equal(verdict(ZONE_B), AMB_ZONE_RETURNING);
+}
+
+static void pass(amb_ms span, int silent) {
+    for (amb_ms passed = 0; passed <= span; passed += 500) {
+        fake_clock_advance(500);
+        silent_zone(silent);
+    }
+}
+
+static void stay_steady(amb_ms span) {
+    pass(span, -1);
+}
+
+static uint32_t placed_in(const struct amb_job *job, int zone) {
+    return job->zone_used[zone];
+}
+
+static void admit(void) {
+    struct amb_round *round = amb_round_new(node, amb_now());
+    amb_round_admit(round);
+    amb_round_free(round);
+}
+
+static void off_judges_nothing(void **state) {
+    (void)state;
+    switch_on();
+    node->opt.zone_recovery = 0;
+    silent_zone(ZONE_B);
+    assert_int_equal(verdict(ZONE_B), AMB_ZONE_HEALTHY);
+    assert_true(amb_zone_unreachable(node, ZONE_B));
+    assert_int_equal(amb_zones_without_batch(node), 0);
+    assert_null(find_call("POST", "/commit"));
+}
+
+/* Replicas at once, batch work only when the zone is steady. */
+static void a_returning_zone_takes_replicas_only(void **state) {
+    (void)state;
+    for (int steady = 0; steady < 2; steady++) {
+        begin_anew();
+        switch_on();
+        lose_and_return();
+        answer_epoch(open_call("POST", "/commit"), FIRST_STAMP);
+        silent_zone(-1);
+        struct fake_call *second = find_call("POST", "/commit");
+        if (second) answer_epoch(second, FIRST_STAMP + 1);
+        if (steady) {
+            stay_steady(node->zone_recovery.settings.steady);
+            answer_epoch(open_call("POST", "/commit"), FIRST_STAMP + 2);
+        }
+        struct amb_job *batch = add_job("wk-1", AMB_ARRAY, 40), *replicas = add_job("wk-2", AMB_SERVICE, 2);
+        replicas->spec->priority = AMB_PROD;
+        replicas->spec->spread = true;
+        strcpy(replicas->spec->zone, "b");
+        strcpy(batch->spec->zone, "b");
+        replicas->type_mask_known = batch->type_mask_known = false;
+        admit();
+        assert_int_equal(placed_in(replicas, ZONE_B), 1);
+        assert_int_equal(placed_in(batch, ZONE_B) > 0, steady);
+    }
+}
+
+/* Machines that idle for it are not returned meanwhile, and nothing is given up before the zone is steady. */
+static void a_returning_zone_keeps_its_machines(void **state) {
+    (void)state;
+    switch_on();
+    lose_and_return();
+    struct amb_machine *idle = amb_machine_get(node, "m-1", false),
+                       *other = amb_machine_get(node, "m-0", false);
+    idle->idle_since = other->idle_since = node->ctl.leading_since = amb_now() - 1000000;
+    struct amb_machine *unproven = machine_in("m-9", ZONE_B);
+    unproven->state = AMB_MACHINE_UNPROVEN;
+    unproven->state_at = node->ctl.loaded_at = node->ctl.leading_since;
+    unproven->reported_at = amb_now();
+    struct amb_round *round = amb_round_new(node, amb_now());
+    amb_plan(round);
+    amb_round_free(round);
+    amb_fleet_tick(node, amb_now());
+    assert_true(other->release_wanted);
+    assert_false(idle->release_wanted);
+    assert_false(unproven->release_wanted);
+}
+
+/* ---- the order ---- */
+
+static struct amb_job *lost_replica(const char *ref, const char *class_name, enum amb_priority priority) {
+    struct amb_job *job = add_job(ref, AMB_SERVICE, 1);
+    strcpy(job->spec->class_name, class_name);
+    job->spec->priority = priority;
+    struct amb_task *task = bound(job, 0, "m-1", 1);
+    task->state = AMB_TASK_SEEN;
+    job->next_attempt = 2;
+    return job;
+}
+
+static void expect_step(uint32_t place, const char *class_name) {
+    assert_string_equal(node->zone_recovery.order.steps[place].lost.name, class_name);
+}
+
+static void classes_get_their_turns_in_order(void **state) {
+    (void)state;
+    switch_on();
+    node->ctl.ready = false; /* nothing is placed meanwhile */
+    struct amb_job *drafts = lost_replica("wk-1", "drafts", AMB_HIGH);
+    struct amb_job *assistant = lost_replica("wk-2", "assistant", AMB_PROD);
+    struct amb_job *sweep = add_job("wk-3", AMB_ARRAY, 4), *new_prod = add_job("wk-4", AMB_SERVICE, 1);
+    struct amb_job *new_high = add_job("wk-5", AMB_SERVICE, 1);
+    new_prod->spec->priority = AMB_PROD;
+    new_high->spec->priority = AMB_HIGH;
+    assert_int_equal(amb_zone_recovery_step(node, assistant), AMB_NO_STEP);
+    silent_zone(ZONE_B);
+    expect_step(0, "assistant");
+    expect_step(1, "drafts");
+    assert_int_equal(amb_zone_recovery_step(node, assistant), 0);
+    assert_int_equal(amb_zone_recovery_step(node, new_prod), 1); /* before what is less urgent, as ever */
+    assert_int_equal(amb_zone_recovery_step(node, drafts), 1);
+    assert_int_equal(amb_zone_recovery_step(node, new_high), AMB_NO_STEP);
+    assert_int_equal(amb_zone_recovery_step(node, sweep), AMB_NO_STEP);
+    amb_task_unbind(node, &assistant->tasks[0], "test");
+    pass(2000, ZONE_B);
+    assert_int_equal(node->zone_recovery.order.steps[0].wait, AMB_RECOVERY_FOR_ROOM);
+    assert_int_equal(node->zone_recovery.order.steps[1].wait, AMB_RECOVERY_FOR_PROOF);
+    assistant->team->limit.gpus = 0.5;
+    pass(2000, ZONE_B);
+    assert_int_equal(node->zone_recovery.order.steps[0].wait, AMB_RECOVERY_FOR_LIMIT);
+}
+
+/* Room that is being made for a replica is not taken by batch work, and less room than it needs is. */
+static void batch_leaves_reserved_room_alone(void **state) {
+    (void)state;
+    switch_on();
+    silent_zone(-1);
+    struct amb_job *batch = add_job("wk-1", AMB_ARRAY, 100);
+    for (struct amb_machine *machine = node->fleet.all; machine; machine = machine->hh.next)
+        machine->reserved.gpus = 7;
+    batch->spec->each = (struct amb_res){1, 1, 1};
+    admit();
+    uint32_t machines = HASH_COUNT(node->fleet.all);
+    if (batch->nbound != machines)
+        fail_msg("%u tasks on %u machines with room for one each", batch->nbound, machines);
+}
+
+/* ---- the record ---- */
+
+static bool on_record(const cbor_item_t *value, const char *said) {
+    return amb_cbor_eq(amb_cbor_get(amb_cbor_at(amb_cbor_get(value, "zones"), 0), "verdict"), said);
+}
+
+static struct fake_call *expect_write(const char *said, uint64_t stamp) {
+    struct fake_call *commit = open_call("POST", "/commit");
+    const cbor_item_t *value = fake_txn_put(commit, ZONES_KEY, NULL);
+    assert_non_null(value);
+    assert_int_equal(fake_txn_guard(commit, LEADER_KEY), TERM);
+    assert_int_equal(fake_txn_guard(commit, ZONES_KEY), stamp);
+    assert_true(on_record(value, said));
+    return commit;
+}
+
+/* Batch work stays out of the zone until it is on record that the zone is healthy. */
+static void the_more_careful_state_counts(void **state) {
+    (void)state;
+    static const int refusals[] = {503, 409, 0};
+    for (size_t i = 0; i < ROWS(refusals); i++) {
+        begin_anew();
+        switch_on();
+        lose_and_return();
+        answer_epoch(expect_write("lost", 0), FIRST_STAMP);
+        silent_zone(-1);
+        answer_epoch(expect_write("returning", FIRST_STAMP), FIRST_STAMP + 1);
+        stay_steady(node->zone_recovery.settings.steady);
+        assert_int_equal(verdict(ZONE_B), AMB_ZONE_HEALTHY);
+        assert_int_equal(amb_zones_without_batch(node), 1u << ZONE_B);
+        fake_answer(expect_write("healthy", FIRST_STAMP + 1), refusals[i], NULL);
+        assert_int_equal(amb_zones_without_batch(node), 1u << ZONE_B);
+        fake_clock_advance(node->store.call_timeout + 1);
+        silent_zone(-1);
+        answer_value(open_call("GET", "/store/" ZONES_KEY), "form", NULL, 1, FIRST_STAMP + 5);
+        silent_zone(-1);
+        answer_epoch(expect_write("healthy", FIRST_STAMP + 5), FIRST_STAMP + 6);
+        assert_int_equal(amb_zones_without_batch(node), 0);
+    }
+}
+
+static cbor_item_t *record_value(uint64_t form) {
+    struct amb_buf b = {0};
+    amb_w_map(&b, 3);
+    amb_w_str(&b, "form"), amb_w_uint(&b, form);
+    amb_w_str(&b, "zones"), amb_w_list(&b, 1), amb_w_map(&b, 3);
+    amb_w_str(&b, "zone"), amb_w_str(&b, "b");
+    amb_w_str(&b, "verdict"), amb_w_str(&b, "returning");
+    amb_w_str(&b, "losses"), amb_w_uint(&b, 3);
+    amb_w_str(&b, "steps"), amb_w_list(&b, 2);
+    static const char *const classes[] = {"drafts", "assistant"}; /* as an earlier loss had it */
+    for (uint64_t i = 0; i < 2; i++) {
+        amb_w_map(&b, 2);
+        amb_w_str(&b, "class"), amb_w_str(&b, classes[i]);
+        amb_w_str(&b, "priority"), amb_w_uint(&b, AMB_HIGH + i);
+    }
+    cbor_item_t *value = amb_cbor_parse(b.data, b.len);
+    amb_buf_free(&b);
+    return value;
+}
+
+static void a_successor_goes_on(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *key;
+        uint64_t form;
+        bool on, taken;
+    } rows[] = {
+        {"taken over", ZONES_KEY, 1, true, true},
+        {"a later form is left alone", ZONES_KEY, 2, true, false},
+        {"another key", "b/returns", 1, true, false},
+        {"switched off", ZONES_KEY, 1, false, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        begin_anew();
+        switch_on();
+        node->opt.zone_recovery = rows[i].on;
+        cbor_item_t *value = record_value(rows[i].form);
+        amb_zone_record_load(node, rows[i].key, value, FIRST_STAMP);
+        cbor_decref(&value);
+        if ((verdict(ZONE_B) == AMB_ZONE_RETURNING) != rows[i].taken) fail_msg("%s", rows[i].what);
+        assert_int_equal(node->zone_recovery.order.count, rows[i].taken ? 2 : 0);
+        assert_int_equal(amb_zones_without_batch(node), rows[i].taken ? 1u << ZONE_B : 0);
+        if (!rows[i].taken) continue;
+        assert_int_equal(node->zone_recovery.zones[ZONE_B].losses, 3);
+        expect_step(0, "drafts");
+        expect_step(1, "assistant");
+    }
+}
+
+/* An old process would neither write nor heed it; and a leader that is not sure writes nothing. */
+static void nothing_is_written_too_early(void **state) {
+    (void)state;
+    for (int old = 0; old < 2; old++) {
+        begin_anew();
+        switch_on();
+        node->formats.written = old ? AMB_FORMAT_1 : AMB_FORMAT_2;
+        silent_zone(ZONE_B);
+        assert_int_equal(find_call("POST", "/commit") == NULL, old);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(settings_are_refused, begin, end),
+        cmocka_unit_test_setup_teardown(off_judges_nothing, begin, end),
+        cmocka_unit_test_setup_teardown(a_returning_zone_takes_replicas_only, begin, end),
+        cmocka_unit_test_setup_teardown(a_returning_zone_keeps_its_machines, begin, end),
+        cmocka_unit_test_setup_teardown(classes_get_their_turns_in_order, begin, end),
+        cmocka_unit_test_setup_teardown(batch_leaves_reserved_room_alone, begin, end),
+        cmocka_unit_test_setup_teardown(the_more_careful_state_counts, begin, end),
+        cmocka_unit_test_setup_teardown(a_successor_goes_on, begin, end),
+        cmocka_unit_test_setup_teardown(nothing_is_written_too_early, begin, end),
+    };
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
