--- a/lib/zone_verdicts.c
+++ b/lib/zone_verdicts.c
@@ -7,6 +7,11 @@
     roaring_bitmap_t *expected, *answering;
 };
 
+struct survey {
+    uint32_t count;
+    struct zone_sets zones[AMB_ZONES];
+};
+
 /* ---- evidence ---- */
 
 static amb_ms patience(const struct amb_node *node) {
@@ -23,21 +28,23 @@
     return now - machine->reported_at <= patience(node);
 }
 
-static void take_sets(const struct amb_node *node, amb_ms now, struct zone_sets sets[AMB_ZONES]) {
-    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
-        sets[zone] = (struct zone_sets){roaring_bitmap_create(), roaring_bitmap_create()};
+static void survey_take(const struct amb_node *node, amb_ms now, struct survey *survey) {
+    survey->count = node->catalog.nzones;
+    for (uint32_t zone = 0; zone < survey->count; zone++)
+        survey->zones[zone] = (struct zone_sets){roaring_bitmap_create(), roaring_bitmap_create()};
     for (const struct amb_machine *machine = node->fleet.all; machine; machine = machine->hh.next) {
         if (!amb_zone_machine_expected(node, machine, now)) continue;
-        roaring_bitmap_add(sets[machine->zone].expected, machine->number);
+        const struct zone_sets *sets = &survey->zones[machine->zone];
+        roaring_bitmap_add(sets->expected, machine->number);
         if (amb_zone_machine_answers(node, machine, now))
-            roaring_bitmap_add(sets[machine->zone].answering, machine->number);
+            roaring_bitmap_add(sets->answering, machine->number);
     }
 }
 
-static void free_sets(const struct amb_node *node, struct zone_sets sets[AMB_ZONES]) {
-    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) {
-        roaring_bitmap_free(sets[zone].expected);
-        roaring_bitmap_free(sets[zone].answering);
+static void survey_free(const struct survey *survey) {
+    for (uint32_t zone = 0; zone < survey->count; zone++) {
+        roaring_bitmap_free(survey->zones[zone].expected);
+        roaring_bitmap_free(survey->zones[zone].answering);
     }
 }
 
@@ -46,10 +53,11 @@
 }
 
 /* No zone is heard: it is this node that is out of reach. */
-static bool nobody_heard(const struct amb_node *node, const struct zone_sets sets[AMB_ZONES]) {
-    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) {
-        uint64_t expected = roaring_bitmap_get_cardinality(sets[zone].expected);
-        if (amb_zone_heard_of(expected, silent_of(&sets[zone])) != AMB_ZONE_NOT_HEARD) return false;
+static bool nobody_heard(const struct survey *survey) {
+    for (uint32_t zone = 0; zone < survey->count; zone++) {
+        const struct zone_sets *sets = &survey->zones[zone];
+        uint64_t expected = roaring_bitmap_get_cardinality(sets->expected);
+        if (amb_zone_heard_of(expected, silent_of(sets)) != AMB_ZONE_NOT_HEARD) return false;
     }
     return true;
 }
@@ -91,16 +99,18 @@
         verdict_changed(node, zone, before, sets, now);
 }
 
+static void judge_zones(struct amb_node *node, amb_ms now) {
+    struct survey survey;
+    survey_take(node, now, &survey);
+    bool nobody = nobody_heard(&survey);
+    for (uint32_t zone = 0; zone < survey.count; zone++)
+        judge_zone(node, zone, &survey.zones[zone], nobody, now);
+    survey_free(&survey);
+}
+
 void amb_zone_verdicts_tick(struct amb_node *node, amb_ms now) {
-    struct zone_sets sets[AMB_ZONES];
     bool learning = now - node->ctl.leading_since <= patience(node); /* a new leader has heard nobody yet */
-    if (!learning) {
-        take_sets(node, now, sets);
-        bool nobody = nobody_heard(node, sets);
-        for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
-            judge_zone(node, zone, &sets[zone], nobody, now);
-        free_sets(node, sets);
-    }
+    if (!learning) judge_zones(node, now);
     for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) show_reach(node, zone, now);
 }
 
--- a/tests/standin/recovery.c
+++ b/tests/standin/recovery.c
@@ -154,7 +154,7 @@
 /* No batch work in a zone that has only just come back. */
 static void check_steady(const struct sim_machine *machine, const struct sim_task *task) {
     if (task->job->spec.kind == AMB_SERVICE) return;
-    amb_ms steady = (amb_ms)(world.size->lease * SIM_ZONE_STEADY);
+    amb_ms steady = world.size->lease / SIM_LEASES_PER_STEADY;
     for (size_t i = 0; i < world.fault_count; i++) {
         const struct sim_fault *cut = &world.faults[i];
         if (cut->kind != SIM_CUT_ZONE || cut->which != machine->zone || cut->lasts < SURELY_LOST_MS) continue;
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -39,8 +39,8 @@
        SIM_TEAMS = 2,
        SIM_ZONES = 3, /* at most */
        SIM_WINDOW_S = 30,
+       SIM_LEASES_PER_STEADY = 2, /* a returning zone is steady for half a lease, as the options have it */
 };
-static const double SIM_ZONE_STEADY = 0.5; /* as the options have it */
 
 struct sim_pace { /* of the cloud and its machines, as a rule */
     amb_ms list_lag, boot, fetch;
--- a/tests/standin/zone_days.c
+++ b/tests/standin/zone_days.c
@@ -31,9 +31,6 @@
 };
 enum { SCENARIOS = sizeof scenarios / sizeof *scenarios };
 
-/* More replicas than two zones have room for. */
-static const struct sim_size size = {5, 24, 64, 16, 3, 1000, 10000, 30000, 400, 60, 6};
-
 enum figure { ASSISTANT_S, DRAFTS_S, WORST_WINDOW, KILLED, KILLED_BATCH, STARTS, MACHINE_S, FIGURES };
 
 static const struct {
@@ -76,7 +73,7 @@
 
 static void play(const struct scenario *scenario, uint64_t seed, bool recovery, gsl_histogram **side) {
     unsigned load = SIM_LOAD_ZONAL | (recovery ? SIM_LOAD_ZONE_RECOVERY : 0);
-    const struct sim_plan plan = {&size, seed, DAY_MS, load, scenario->faults, scenario->count};
+    const struct sim_plan plan = {&sim_zonal, seed, DAY_MS, load, scenario->faults, scenario->count};
     struct sim_result r = sim_play_until_done(&plan, OVERTIME_MS);
     if (r.broken[0])
         printf("%s, seed %llu, %s: %s\n", scenario->name, (unsigned long long)seed,
