--- a/include/amberpin/zone_recovery.h
+++ b/include/amberpin/zone_recovery.h
@@ -50,13 +50,18 @@
 /* Before the node serves. */
 void amb_zone_recovery_init(struct amb_node *node);
 
+/* ---- evidence (zone_evidence.c) ---- */
+
+/* How long a machine may be silent before it counts as such. */
+amb_ms amb_zone_patience(const struct amb_node *node);
+/* Should the machine report, and does it? */
+bool amb_zone_machine_expected(const struct amb_node *node, const struct amb_machine *machine, amb_ms now);
+bool amb_zone_machine_answers(const struct amb_node *node, const struct amb_machine *machine, amb_ms now);
+
 /* ---- verdicts (zone_verdicts.c) ---- */
 
 /* Judges all zones. Not while a new leader has heard nobody yet. */
 void amb_zone_verdicts_tick(struct amb_node *node, amb_ms now);
-/* Machines that should report, and whether this one does; as zones.h counts them. */
-bool amb_zone_machine_expected(const struct amb_node *node, const struct amb_machine *machine, amb_ms now);
-bool amb_zone_machine_answers(const struct amb_node *node, const struct amb_machine *machine, amb_ms now);
 /* Is the zone back, but not steady yet? Always no while recovery is off. */
 bool amb_zone_returning(const struct amb_node *node, int zone);
 /* Zones in which no batch work may start, as a mask: by verdict, or by what is on record. */
--- /dev/null
+++ b/lib/zone_evidence.c
@@ -0,0 +1,17 @@
+/* What counts as silence of a machine, for whoever judges its zone. */
+#include "amberpin/node.h"
+#include "amberpin/zone_recovery.h"
+
+amb_ms amb_zone_patience(const struct amb_node *node) {
+    return amb_secs(node->set.report_s * AMB_ZONE_PATIENCE_REPORTS);
+}
+
+bool amb_zone_machine_expected(const struct amb_node *node, const struct amb_machine *machine, amb_ms now) {
+    if (machine->zone < 0 || machine->type < 0) return false;
+    double boot_s = node->catalog.types[machine->type].boot_s;
+    return machine->state != AMB_MACHINE_BOOTING || now - machine->first_at >= amb_secs(boot_s * 2);
+}
+
+bool amb_zone_machine_answers(const struct amb_node *node, const struct amb_machine *machine, amb_ms now) {
+    return now - machine->reported_at <= amb_zone_patience(node);
+}
--- a/lib/zone_verdicts.c
+++ b/lib/zone_verdicts.c
@@ -14,20 +14,6 @@
 
 /* ---- evidence ---- */
 
-static amb_ms patience(const struct amb_node *node) {
-    return amb_secs(node->set.report_s * AMB_ZONE_PATIENCE_REPORTS);
-}
-
-bool amb_zone_machine_expected(const struct amb_node *node, const struct amb_machine *machine, amb_ms now) {
-    if (machine->zone < 0 || machine->type < 0) return false;
-    double boot_s = node->catalog.types[machine->type].boot_s;
-    return machine->state != AMB_MACHINE_BOOTING || now - machine->first_at >= amb_secs(boot_s * 2);
-}
-
-bool amb_zone_machine_answers(const struct amb_node *node, const struct amb_machine *machine, amb_ms now) {
-    return now - machine->reported_at <= patience(node);
-}
-
 static void survey_take(const struct amb_node *node, amb_ms now, struct survey *survey) {
     survey->count = node->catalog.nzones;
     for (uint32_t zone = 0; zone < survey->count; zone++)
@@ -109,7 +95,8 @@
 }
 
 void amb_zone_verdicts_tick(struct amb_node *node, amb_ms now) {
-    bool learning = now - node->ctl.leading_since <= patience(node); /* a new leader has heard nobody yet */
+    bool learning =
+        now - node->ctl.leading_since <= amb_zone_patience(node); /* a new leader has heard nobody yet */
     if (!learning) judge_zones(node, now);
     for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) show_reach(node, zone, now);
 }
--- a/lib/zones.c
+++ b/lib/zones.c
@@ -18,10 +18,6 @@
     *reach = to;
 }
 
-static amb_ms patience(const struct amb_node *node) {
-    return amb_secs(node->set.report_s * AMB_ZONE_PATIENCE_REPORTS);
-}
-
 static void count_machines(const struct amb_node *node, amb_ms now, struct zone_count counts[AMB_ZONES]) {
     for (const struct amb_machine *machine = node->fleet.all; machine; machine = machine->hh.next) {
         if (!amb_zone_machine_expected(node, machine, now)) continue;
@@ -50,7 +46,8 @@
     enum amb_zone_reach reach[AMB_ZONES];
     uint32_t unreachable = 0;
     count_machines(node, now, counts);
-    bool learning = now - node->ctl.leading_since <= patience(node); /* a new leader has heard nobody yet */
+    bool learning =
+        now - node->ctl.leading_since <= amb_zone_patience(node); /* a new leader has heard nobody yet */
     for (uint32_t zone = 0; zone < AMB_ZONES; zone++) {
         reach[zone] = learning ? AMB_ZONE_REACHED : reach_by_count(counts[zone]);
         unreachable += reach[zone] == AMB_ZONE_UNREACHABLE;
@@ -80,5 +77,5 @@
 
 bool amb_zone_recovers(const struct amb_node *node, int zone, amb_ms now) {
     if (zone < 0 || !node->fleet.out_of_reach_at[zone]) return false;
-    return now - node->fleet.out_of_reach_at[zone] <= patience(node);
+    return now - node->fleet.out_of_reach_at[zone] <= amb_zone_patience(node);
 }
