A failure is blamed on the job or the machine by evidence on both

Change: a pure core weighs on how many machines the job failed against how many jobs failed on the machine, each since its last success. A job taken for broken is tried with one task at a time, ever more rarely (four leases at most), and nothing is rented or stopped for it. What is not known yet makes the machine rest for two reports. Out of task_reports.c into task_failures.c. Test: failure_evidence (broken job, bad machine, both, flaky).

--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -2,6 +2,7 @@
 #ifndef AMBERPIN_MODEL_H
 #define AMBERPIN_MODEL_H
 
+#include "amberpin/failure_evidence.h"
 #include "amberpin/util.h"
 
 #include <uthash.h>
@@ -205,7 +206,11 @@
     uint64_t next_attempt;
     enum amb_gang_state gang;
     amb_ms hold_until; /* after errors: no new start before */
-    uint32_t errors;
+    struct {           /* task_failures.h */
+        struct amb_failed_with machines;
+        uint32_t retries;
+        bool works, broken;
+    } failures;
     bool finishing;
     amb_ms finish_retry_at;
     uint32_t type_mask;
@@ -244,6 +249,8 @@
     bool keeps_result;   /* its last report listed a completed task whose end is not on record yet */
     amb_ms notice_until; /* the cloud takes it then; 0: no notice */
     uint32_t faults, ntasks, good;
+    uint32_t doubts;                    /* failures on it that may be its own, since the last success */
+    struct amb_failed_with failed_jobs; /* by the hash of their names */
     struct amb_res used;
     struct amb_res reserved; /* of what is free: for replicas that return (zone_recovery.h) */
     struct amb_task *tasks;
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -3,6 +3,7 @@
 
 #include "amberpin/log.h"
 #include "amberpin/start_patience.h"
+#include "amberpin/task_failures.h"
 #include "amberpin/wdrr.h"
 
 #include <math.h>
@@ -423,7 +424,7 @@
             r->slots[i].machine->reserved = r->slots[i].reserved = no_room;
         }
     for (uint32_t i = 0; i < r->njobs; i++)
-        if (amb_round_wants_start(r, r->jobs[i])) plan_job(p, r->jobs[i]);
+        if (amb_round_wants_start(r, r->jobs[i]) && !amb_job_broken(r->jobs[i])) plan_job(p, r->jobs[i]);
     plan_lost_soon(p);
     note_demand(p);
     plan_headroom(p);
--- a/lib/round.c
+++ b/lib/round.c
@@ -2,6 +2,7 @@
 #include "amberpin/round.h"
 #include "amberpin/log.h"
 #include "amberpin/start_patience.h"
+#include "amberpin/task_failures.h"
 #include "amberpin/wdrr.h"
 
 #include <math.h>
@@ -113,6 +114,7 @@
 bool amb_round_wants_start(const struct amb_round *r, const struct amb_job *j) {
     if (j->state != AMB_JOB_QUEUED || j->awaiting || !amb_job_waiting(j)) return false;
     if (j->spec->kind == AMB_GANG && (j->gang != AMB_GANG_IDLE || j->nbound)) return false;
+    if (amb_job_broken(j) && j->nbound) return false; /* one task is tried at a time */
     return r->now >= j->hold_until;
 }
 
@@ -560,7 +562,7 @@
 struct amb_slot *amb_round_make_room(struct amb_round *r, struct amb_job *j, const struct amb_wish *w,
                                      bool image_only) {
     const struct amb_claim claim = claim_of(j);
-    if (!may_stop_work(r, &claim)) return NULL;
+    if (amb_job_broken(j) || !may_stop_work(r, &claim)) return NULL;
     int best = least_lost(r, w, &claim, image_only);
     if (best < 0) return NULL;
     struct amb_slot *s = &r->slots[best];
--- /dev/null
+++ b/lib/task_failures.c
@@ -0,0 +1,76 @@
+#include "amberpin/task_failures.h"
+
+#include "amberpin/log.h"
+#include "amberpin/node.h"
+
+#include <math.h>
+#include <string.h>
+
+enum {
+    FAULTS_MAX = 3,      /* faults of a machine without a success that cost it its place */
+    PAUSE_DOUBLINGS = 6, /* of the time until a broken job is tried again */
+    REST_REPORTS = 2,    /* report periods that a machine rests when it is not known what is at fault */
+};
+
+/* The longest time between two tries of a broken job, in leases. */
+static const double PAUSE_LEASES = 4;
+
+bool amb_job_broken(const struct amb_job *job) {
+    return job->failures.broken;
+}
+
+static void try_again_later(const struct amb_node *node, struct amb_job *job) {
+    amb_ms now = amb_now();
+    if (now < job->hold_until) return; /* others of the same try */
+    uint32_t doublings = job->failures.retries < PAUSE_DOUBLINGS ? job->failures.retries : PAUSE_DOUBLINGS;
+    double pause_s = fmin(node->set.report_s * (double)(1u << doublings), node->set.lease_s * PAUSE_LEASES);
+    job->failures.retries++;
+    job->hold_until = now + amb_secs(pause_s);
+}
+
+static void job_at_fault(const struct amb_node *node, struct amb_job *job,
+                         const struct amb_machine *machine) {
+    if (!job->failures.broken)
+        amb_info("job %s: taken for broken: it failed on %u machines without a success, last on %s", job->ref,
+                 job->failures.machines.count, machine->name);
+    job->failures.broken = true;
+    try_again_later(node, job);
+}
+
+static void machine_at_fault(struct amb_node *node, struct amb_machine *machine) {
+    machine->faults++;
+    amb_machine_rest(machine, node->set.lease_s * machine->faults, "a task failed on it");
+    if (machine->faults >= FAULTS_MAX && !machine->good)
+        amb_rental_release(node, machine, "tasks keep failing on it");
+}
+
+/* The job is to be tried elsewhere: where it fails again the next time tells which of them it was. */
+static void nobody_at_fault(const struct amb_node *node, struct amb_machine *machine) {
+    double rest_s = node->set.report_s * REST_REPORTS * ++machine->doubts;
+    amb_machine_rest(machine, fmin(rest_s, node->set.lease_s), "a task failed, on it alone");
+}
+
+void amb_task_failed(struct amb_node *node, struct amb_job *job, struct amb_machine *machine) {
+    amb_failed_with_add(&job->failures.machines, machine->number);
+    /* What is known to be broken tells nothing of a machine. */
+    if (!job->failures.broken) amb_failed_with_add(&machine->failed_jobs, job->hh.hashv);
+    const struct amb_failure_evidence evidence = {
+        .machines = job->failures.machines.count,
+        .jobs = machine->failed_jobs.count,
+        .job_works = job->failures.works,
+    };
+    enum amb_fault fault = amb_failure_fault(&evidence);
+    amb_debug("job %s: a task failed on %s: fault %s (%u machines, %u jobs%s)", job->ref, machine->name,
+              amb_fault_name(fault), evidence.machines, evidence.jobs, evidence.job_works ? ", works" : "");
+    if (fault == AMB_FAULT_OF_JOB || fault == AMB_FAULT_OF_BOTH) job_at_fault(node, job, machine);
+    if (fault == AMB_FAULT_OF_MACHINE || fault == AMB_FAULT_OF_BOTH) machine_at_fault(node, machine);
+    if (fault == AMB_FAULT_UNKNOWN) nobody_at_fault(node, machine);
+}
+
+void amb_task_works(struct amb_job *job, struct amb_machine *machine) {
+    memset(&job->failures, 0, sizeof job->failures);
+    job->failures.works = true;
+    machine->failed_jobs.count = 0;
+    machine->doubts = 0;
+    machine->good++;
+}
--- a/lib/task_reports.c
+++ b/lib/task_reports.c
@@ -3,13 +3,11 @@
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 #include "amberpin/place.h"
+#include "amberpin/task_failures.h"
 #include "amberpin/wdrr.h"
 
 enum {
-    MISSES_MAX = 2,         /* reports that fail to list a task which was ordered */
-    FAULTS_MAX = 3,         /* failed tasks without a success that cost a machine its place */
-    ERRORS_OF_MACHINES = 3, /* failures of a job in a row that machines are blamed for */
-    PAUSE_DOUBLINGS = 6,
+    MISSES_MAX = 2,     /* reports that fail to list a task which was ordered */
     STEADY_REPORTS = 5, /* report periods that a task runs before its machine counts as good */
 };
 
@@ -19,24 +17,8 @@
 
 /* ---- exits ---- */
 
-static void failed(struct amb_node *node, struct amb_job *job, struct amb_machine *machine) {
-    job->errors++;
-    /* A job with a mistake in it fails everywhere; a bad machine fails every job. After a few failures in a
-     * row without a success the job is the suspect, and machines are no longer blamed for it. */
-    if (job->errors <= ERRORS_OF_MACHINES) {
-        machine->faults++;
-        amb_machine_rest(machine, node->set.lease_s * machine->faults, "a task failed on it");
-    }
-    uint32_t shift = job->errors < PAUSE_DOUBLINGS ? job->errors : PAUSE_DOUBLINGS;
-    double pause_s = job->errors < ERRORS_OF_MACHINES ? 0 : node->set.report_s * (double)(1u << shift);
-    job->hold_until = amb_now() + amb_secs(pause_s);
-    if (machine->faults >= FAULTS_MAX && !machine->good)
-        amb_rental_release(node, machine, "tasks keep failing on it");
-}
-
 static void succeeded(struct amb_node *node, struct amb_task *task) {
-    task->job->errors = 0;
-    task->machine->good++;
+    amb_task_works(task->job, task->machine);
     task->machine->faults = 0;
     amb_task_finish(node, task);
 }
@@ -58,7 +40,7 @@
     if (why == AMB_WHY_DONE) succeeded(node, task);
     /* The cause decides before the task is let go, so that the next round knows it. */
     if (job->state == AMB_JOB_QUEUED) {
-        if (why == AMB_WHY_ERROR) failed(node, job, machine);
+        if (why == AMB_WHY_ERROR) amb_task_failed(node, job, machine);
         if (why == AMB_WHY_NO_ROOM || why == AMB_WHY_BUSY)
             amb_machine_rest(machine, node->set.report_s * 2, "it refused a task");
         if (why == AMB_WHY_UNKNOWN) job->hold_until = amb_now() + amb_secs(node->set.report_s * 2);
@@ -98,10 +80,8 @@
     if (listed->on != AMB_ON_FETCHING)
         amb_machine_use_image(node, task->machine, job->spec->image, job->spec->image_gb);
     if (is_gang(job)) look_at_gang(job);
-    if (task->running_at && amb_now() - task->running_at > amb_secs(node->set.report_s * STEADY_REPORTS)) {
-        job->errors = 0;
-        task->machine->good++;
-    }
+    if (task->running_at && amb_now() - task->running_at > amb_secs(node->set.report_s * STEADY_REPORTS))
+        amb_task_works(job, task->machine);
 }
 
 /* ---- a task that the report names ---- */
--- a/lib/tasks.c
+++ b/lib/tasks.c
@@ -47,7 +47,7 @@
     memset(job->zone_used, 0, sizeof job->zone_used);
     job->next_attempt = 1;
     job->gang = AMB_GANG_IDLE;
-    job->errors = 0;
+    memset(&job->failures, 0, sizeof job->failures);
     job->hold_until = 0;
     job->finishing = false;
     job->type_mask_known = false;
