--- a/tests/standin/clock.c
+++ b/tests/standin/clock.c
@@ -96,6 +96,11 @@
     struct amb_timer *timer = world.timers[0].timer;
     sim_switch_to(world.timers[0].owner);
     if (timer->at > world.now) world.now = timer->at;
+    if (sim_thaws_at(world.current)) {
+        amb_timer_set(timer, sim_thaws_at(world.current), timer->fn, timer->arg);
+        sim_switch_to(-1);
+        return true;
+    }
     amb_timer_stop(timer);
     timer->fn(timer->arg);
     sim_switch_to(-1);
--- a/tests/standin/cloud.c
+++ b/tests/standin/cloud.c
@@ -82,6 +82,8 @@
 
 static amb_ms boot_time(void) {
     if (sim_fault_active(SIM_QUICK_BOOTS, -1)) return sim_between(200, 2000);
+    if (sim_fault_strikes(SIM_NO_BOOTS)) return SIM_FOR_GOOD_MS;
+    if (sim_fault_active(SIM_LATE_BOOTS, -1)) return sim_between(2 * sim_pace.boot, 6 * sim_pace.boot);
     return sim_between(sim_pace.boot / 2, sim_pace.boot * 3 / 2);
 }
 
--- a/tests/standin/explore.c
+++ b/tests/standin/explore.c
@@ -41,7 +41,8 @@
     "SIM_LOST_WRITES", "SIM_LATE_REPORTS", "SIM_KEPT_REPORTS",    "SIM_LATE_COMMANDS", "SIM_QUICK_BOOTS",
     "SIM_SLOW_STATE",  "SIM_CANCEL_NOW",   "SIM_CANCEL_AT_END",   "SIM_CLOSE_LOOKS",   "SIM_ODD_REQUESTS",
     "SIM_SLOW_LINKS",  "SIM_CLOUD_OUTAGE", "SIM_LOWER_LIMITS",    "SIM_UPGRADE",       "SIM_DUTIES",
-    "SIM_LOSE_ZONE",   "SIM_LATE_RETURNS", "SIM_CUT_ZONE",        "SIM_HALVE_ZONE",
+    "SIM_LOSE_ZONE",   "SIM_LATE_RETURNS", "SIM_CUT_ZONE",        "SIM_HALVE_ZONE",    "SIM_FREEZE",
+    "SIM_LATE_BOOTS",  "SIM_NO_BOOTS",     "SIM_QUESTIONS",
 };
 _Static_assert(sizeof kinds / sizeof *kinds == SIM_FAULTS, "a name for each kind of fault");
 
--- a/tests/standin/faults.c
+++ b/tests/standin/faults.c
@@ -33,6 +33,15 @@
     return false;
 }
 
+amb_ms sim_thaws_at(int node) {
+    for (size_t i = 0; node >= 0 && i < world.fault_count; i++) {
+        const struct sim_fault *fault = &world.faults[i];
+        if (fault->kind != SIM_FREEZE || fault->which != node) continue;
+        if (world.now >= fault->at && world.now < fault->at + fault->lasts) return fault->at + fault->lasts;
+    }
+    return 0;
+}
+
 bool sim_node_cut(enum sim_fault_kind kind, int node) {
     if (sim_fault_active(SIM_CUT_ALL, node)) return true;
     if (sim_fault_active(SIM_CUT_BUT_WORKERS, node) && kind != SIM_CUT_WORKERS) return true;
@@ -108,7 +117,7 @@
 }
 
 static bool of_node(enum sim_fault_kind kind) {
-    return kind <= SIM_CUT_BUT_WORKERS;
+    return kind <= SIM_CUT_BUT_WORKERS || kind == SIM_FREEZE;
 }
 
 static int busiest_machine(void) {
--- a/tests/standin/network.c
+++ b/tests/standin/network.c
@@ -48,8 +48,18 @@
     }
 }
 
+/* A node that stands still hears nothing; as it goes on, what fell due meanwhile comes first, then what came.
+ */
+static bool wait_for_thaw(int node, struct amb_timer *timer, amb_ms after, void (*fn)(void *arg), void *arg) {
+    amb_ms thaws_at = sim_thaws_at(node);
+    if (!thaws_at) return false;
+    amb_timer_set(timer, thaws_at + after, fn, arg);
+    return true;
+}
+
 static void call_deadline(void *arg) {
     struct sim_call *call = arg;
+    if (wait_for_thaw(call->from, &call->deadline, 0, call_deadline, call)) return;
     call->given_up = true;
     if (!asker_lives(call)) return;
     int status = call->status;
@@ -74,6 +84,7 @@
 
 static void call_back(void *arg) {
     struct sim_call *call = arg;
+    if (wait_for_thaw(call->from, &call->back, 1, call_back, call)) return;
     bool lost = answer_is_lost(call) || call->unanswered;
     bool heard = sim_passes(call) && !call->given_up && asker_lives(call) && machine_hears(call) && !lost;
     if (heard) {
@@ -188,6 +199,8 @@
         amb_timer_in(&call->go, sim_between(2000, 15000), sim_call_go, call);
         return;
     }
+    bool to_node = call->to == SIM_AT_FRONT || call->to == SIM_AT_PEER;
+    if (to_node && wait_for_thaw(call->node, &call->go, 1, sim_call_go, call)) return;
     amb_ms held = hold_up(call);
     if (held) {
         amb_timer_in(&call->go, held, sim_call_go, call);
--- a/tests/standin/node_side.c
+++ b/tests/standin/node_side.c
@@ -43,6 +43,7 @@
         set->teams[t].guarantee.gpus = guarantee;
         set->teams[t].limit.gpus = from->team_limit;
     }
+    if (from->guest) set->teams[set->nteams - 1].guarantee.gpus = 0;
 }
 
 static void set_limits(struct amb_settings *set, const struct sim_node_settings *from) {
--- a/tests/standin/node_side.h
+++ b/tests/standin/node_side.h
@@ -13,6 +13,7 @@
     int zone_count;
     const char *const *zone_names;
     int teams, team_limit;
+    bool guest; /* the last team is guaranteed nothing */
     double report_s, lease_s, cancel_s, gang_wait_s, list_lag_s;
     double state_rps, cloud_rps;
     double write_rps, value_kb, txn_ops; /* of the state service, now */
--- a/tests/standin/nodes.c
+++ b/tests/standin/nodes.c
@@ -23,6 +23,7 @@
         .zone_recovery = world.load & SIM_LOAD_ZONE_RECOVERY,
         .recovery_order = world.load & SIM_LOAD_REVERSED ? "drafts, assistant" : NULL,
         .teams = SIM_TEAMS,
+        .guest = world.load & SIM_LOAD_GUEST,
         .team_limit = sim_team_limit(),
         .report_s = (double)size->report / 1000,
         .lease_s = (double)size->lease / 1000,
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -64,6 +64,10 @@
     SIM_LATE_RETURNS, /* percent of calls that return machines are carried out 3 to 15 s later, unanswered */
     SIM_CUT_ZONE,     /* all of a zone (-1: the last) can't reach anything outside of it */
     SIM_HALVE_ZONE,   /* every second machine of a zone (-1: the last) stops for good */
+    SIM_FREEZE,     /* a node stands still while its clock runs: what came meanwhile is there as it goes on */
+    SIM_LATE_BOOTS, /* machines take two to six times as long to boot */
+    SIM_NO_BOOTS,   /* percent of the machines rented never come up */
+    SIM_QUESTIONS,  /* users ask eight times as often */
     SIM_FAULTS,
 };
 
@@ -90,6 +94,8 @@
                              room for; limits that don't bind */
     SIM_LOAD_ZONE_RECOVERY = 1024, /* the operators have switched zone recovery on */
     SIM_LOAD_REVERSED = 2048,      /* and their list has the classes in the order that is not promised */
+    SIM_LOAD_BROKEN = 4096,        /* every fourth job fails everywhere, until its user cancels it */
+    SIM_LOAD_GUEST = 8192,         /* team-1 is guaranteed nothing: arrays of best effort without GPUs */
 };
 
 enum sim_class {                /* of zonal days, in the order in which they are to come back */
--- a/tests/standin/users.c
+++ b/tests/standin/users.c
@@ -14,6 +14,7 @@
        BURST = 8 /* jobs, unless the fault says how many */
 };
 enum { CANCEL_AT_END_MS = 500 };
+enum { QUESTIONS_TIMES = 8, BROKEN_OF = 4, GUEST_RUN_S = 4 };
 
 int sim_team_limit(void) {
     if (world.load & (SIM_LOAD_CROWDED | SIM_LOAD_ZONAL)) return SIM_MACHINE_GPUS * world.size->machines;
@@ -82,7 +83,9 @@
     take_answer(call);
     if (job->timer.slot) return;
     bool over = job->brief && job->known == SIM_FINAL;
-    amb_timer_in(&job->timer, over ? sim_between(10000, 30000) : sim_between(1000, 4000), user_acts, job);
+    amb_ms pause = over ? sim_between(10000, 30000) : sim_between(1000, 4000);
+    if (sim_fault_active(SIM_QUESTIONS, -1)) pause /= QUESTIONS_TIMES;
+    amb_timer_in(&job->timer, pause, user_acts, job);
 }
 
 static void user_acts(void *arg) {
@@ -294,14 +297,28 @@
     }
 }
 
+/* What the second team brings where it is guaranteed nothing. */
+static void make_guest_job(struct amb_spec *spec) {
+    if (strcmp(spec->team, "team-1")) return;
+    spec->kind = AMB_ARRAY;
+    spec->priority = AMB_BEST_EFFORT;
+    spec->tasks = sim_random() % 2 ? 1 : SIM_JOB_TASKS;
+    spec->each = (struct amb_res){0.25, 0, 1.35};
+    spec->estimate_s = GUEST_RUN_S;
+    spec->one_zone = spec->spread = false;
+    spec->spot = true;
+}
+
 static void draw_job(amb_ms length) {
     struct sim_job *job = sim_job_new();
     sim_draw_spec(&job->spec);
+    if (world.load & SIM_LOAD_GUEST) make_guest_job(&job->spec);
+    job->broken = world.load & SIM_LOAD_BROKEN && sim_random() % BROKEN_OF == 0;
     if (world.load & SIM_LOAD_LONG) job->spec.estimate_s *= 10;
     if (world.load & SIM_LOAD_ALL_FIELDS) draw_other_fields(&job->spec);
     if (world.load & SIM_LOAD_ZONE_BOUND) bind_to_zone(&job->spec);
     job->at = world.now + sim_between(2000, length / 2);
-    if (job->spec.kind == AMB_SERVICE || sim_random() % 5 == 0)
+    if (job->spec.kind == AMB_SERVICE || job->broken || sim_random() % 5 == 0)
         job->cancel_at = job->at + sim_between(5000, length / 3);
     bool asks_before = sim_random() % 2 == 0;
     amb_timer_set(&job->timer, asks_before ? world.now + ASK_EARLY_MS : job->at, user_acts, job);
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -136,7 +136,7 @@
     task->end_at = world.now + run_time(job, task);
     machine->changed = true;
     sim_check_start(machine, task);
-    if (sim_fault_active(SIM_BAD_MACHINE, (int)(machine - world.machines)))
+    if (job->broken || sim_fault_active(SIM_BAD_MACHINE, (int)(machine - world.machines)))
         exit_task(machine, task, AMB_WHY_ERROR);
 }
 
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -158,6 +158,7 @@
     amb_ms waits_from; /* its tasks could have been placed ever since, and were not */
     uint64_t was_placed;
     bool uneven, brief;
+    bool broken;                 /* it fails on every machine */
     struct sim_task *first_task; /* on any machine, at the last look at gangs */
     int pipeline;                /* 0: none */
     int awaits[SIM_AWAITS];      /* places in world.jobs */
@@ -340,6 +341,8 @@
 bool sim_fault_strikes(enum sim_fault_kind kind);           /* active, and this time its percentage is met */
 bool sim_fault_planned(enum sim_fault_kind kind);           /* at any time of the day */
 bool sim_node_cut(enum sim_fault_kind kind, int node);
+/* When a node that stands still goes on; 0: it does not stand still. */
+amb_ms sim_thaws_at(int node);
 bool sim_passes(const struct sim_call *call); /* is its way open? */
 int sim_zone_of_node(int node);
 void sim_begin_faults(void); /* those that are due */
--- a/tests/test_standin.c
+++ b/tests/test_standin.c
@@ -47,6 +47,10 @@
     "late returns",
     "cut zone",
     "half a zone",
+    "freeze",
+    "late boots",
+    "no boots",
+    "questions",
 };
 _Static_assert(ROWS(names) == SIM_FAULTS, "a name for each kind of fault");
 
