Overdue boots keep their age over a change of leader

Change: the cloud's list says how long a machine has been rented; boots count as coming, and are given up, by that. Test in test_rentals.

--- a/include/amberpin/model.h
+++ b/include/amberpin/model.h
@@ -239,6 +239,7 @@
     uint64_t session, seq;
     amb_ms known_at, reported_at, answered_at, listed_at, idle_since, state_at, seek_at, avoid_until;
     amb_ms first_at;     /* when this node first knew it */
+    amb_ms rented_at;    /* when it was rented, at the latest */
     uint64_t list_pass;  /* the cloud's list that last named it */
     int kept_for;        /* priority of expected work that it is kept for; -1: none */
     bool claimed;        /* by a gang within its team's guarantee, which waits for room here */
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -405,7 +405,7 @@
     struct amb_machine *m, *next;
     HASH_ITER(hh, n->fleet.all, m, next) {
         if (m->state != AMB_MACHINE_BOOTING || m->type < 0) continue;
-        if (now - m->first_at > amb_secs(n->catalog.types[m->type].boot_s * 4))
+        if (now - m->rented_at > amb_secs(n->catalog.types[m->type].boot_s * 4))
             amb_rental_release(n, m, "it does not come up");
     }
 }
--- a/lib/record_load.c
+++ b/lib/record_load.c
@@ -81,7 +81,7 @@
     /* A list asked for long after that must name the machine: else it is gone, and need not be waited for as
      * if it had been met just now. */
     if (loading->age > 0 && amb_now() - loading->age < machine->first_at)
-        machine->first_at = amb_now() - loading->age;
+        machine->first_at = machine->rented_at = amb_now() - loading->age;
     machine->spot = placement->spot;
     struct amb_task *task = &loading->job->tasks[placement->task];
     if (task->machine) return;
--- a/lib/round.c
+++ b/lib/round.c
@@ -82,7 +82,7 @@
         }
         /* Counted on while it may still come up in time; after that another is rented in its place. */
         double boot = r->n->catalog.types[m->type].boot_s;
-        bool soon = m->state == AMB_MACHINE_BOOTING && r->now - m->first_at < amb_secs(boot * 2);
+        bool soon = m->state == AMB_MACHINE_BOOTING && r->now - m->rented_at < amb_secs(boot * 2);
         bool fresh =
             m->state == AMB_MACHINE_UNPROVEN && r->now - m->reported_at < amb_secs(r->n->set.report_s * 3);
         /* Nor does what boots where nothing can be reached. (In a cut of 105 s work waited for machines that
--- a/tests/test_rentals.c
+++ b/tests/test_rentals.c
@@ -226,6 +226,41 @@
     }
 }
 
+/* The cloud's list says how long a machine has been rented: boots that do not end are returned after four
+ * boot times, though this leader has only just begun. */
+static void overdue_boots_keep_their_age(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        double held_s;
+        bool returned;
+    } rows[] = {{"just rented", 5, false}, {"late", 190, false}, {"overdue", 210, true}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        end(NULL);
+        setup(NULL);
+        strcpy(node->catalog.types[0].zones[0], "a");
+        node->catalog.types[0].nzones = 1;
+        node->catalog.types[0].boot_s = 50;
+        amb_catalog_zone(&node->catalog, "a");
+        node->rental.calls.tokens = 9;
+        struct amb_machine *machine = amb_machine_get(node, "m-1", true); /* from its predecessor's word */
+        amb_machine_state(machine, AMB_MACHINE_BOOTING, "rented");
+        amb_rental_tick(node, amb_now());
+        struct amb_buf body = {0};
+        amb_w_map(&body, 2);
+        amb_w_str(&body, "rigs"), amb_w_list(&body, 1), amb_w_map(&body, 5);
+        amb_w_str(&body, "ref"), amb_w_str(&body, "m-1");
+        amb_w_str(&body, "hull"), amb_w_str(&body, node->catalog.types[0].name);
+        amb_w_str(&body, "yard"), amb_w_str(&body, "a");
+        amb_w_str(&body, "stance"), amb_w_str(&body, "booting");
+        amb_w_str(&body, "held_s"), amb_w_num(&body, rows[i].held_s);
+        amb_w_str(&body, "truncated"), amb_w_bool(&body, false);
+        fake_answer(open_call("GET", "/machines?"), 200, &body);
+        plan_now();
+        if (machine->release_wanted != rows[i].returned) fail_msg("%s", rows[i].what);
+    }
+}
+
 /* ---- returns ---- */
 
 /* One task of the job ends on m-1, which is then idle or being emptied, and the machine reports it. */
@@ -281,6 +316,7 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(overdue_boots_keep_their_age, setup, end),
         cmocka_unit_test_setup_teardown(rental_names_are_never_used_twice, begin, end),
         cmocka_unit_test_setup_teardown(rentals_are_recorded_until_they_must_be_listed, begin, end),
         cmocka_unit_test_setup_teardown(successors_repeat_rentals, begin, end),
