--- a/tests/test_pipeline_order.c
+++ b/tests/test_pipeline_order.c
@@ -152,14 +152,14 @@
         enum amb_priority own_claim;
         bool opportunistic;
     } rows[] = {
-        {"of a high pipeline, for high work", "high", 0, AMB_HIGH, false, AMB_HIGH},
-        {"of a high pipeline, for prod work", "high", 0, AMB_PROD, true, AMB_HIGH},
-        {"of a normal pipeline, for high work", "normal", 0, AMB_HIGH, true, AMB_NORMAL},
-        {"of a prod pipeline, for prod work", "prod", 0, AMB_PROD, false, AMB_PROD},
-        {"of a high pipeline that has time", "high", 60, AMB_HIGH, true, AMB_BEST_EFFORT},
-        {"of a high pipeline that is late", "high", 44, AMB_HIGH, false, AMB_HIGH},
+        {"of a high pipeline, for high work", "high", 0, AMB_HIGH, false, AMB_HIGH, false},
+        {"of a high pipeline, for prod work", "high", 0, AMB_PROD, true, AMB_HIGH, false},
+        {"of a normal pipeline, for high work", "normal", 0, AMB_HIGH, true, AMB_NORMAL, false},
+        {"of a prod pipeline, for prod work", "prod", 0, AMB_PROD, false, AMB_PROD, false},
+        {"of a high pipeline that has time", "high", 60, AMB_HIGH, true, AMB_BEST_EFFORT, false},
+        {"of a high pipeline that is late", "high", 44, AMB_HIGH, false, AMB_HIGH, false},
         {"lower work, for normal work without a guarantee", "best_effort", 0, AMB_NORMAL, false,
-         AMB_BEST_EFFORT},
+         AMB_BEST_EFFORT, false},
         {"opportunistic work, for the same", "best_effort", 0, AMB_NORMAL, true, AMB_BEST_EFFORT, true},
         {"opportunistic work, for its like", "best_effort", 0, AMB_BEST_EFFORT, false, AMB_BEST_EFFORT, true},
     };
