--- a/include/amberpin/cloud_calls.h
+++ b/include/amberpin/cloud_calls.h
@@ -9,7 +9,7 @@
 /* Share of all calls that the holder of the rent duty may make. */
 #define AMB_CLOUD_RENT_SHARE 0.4
 
-/* A call under way. Whoever gets its answer frees it. */
+/* A call of a leader under way, to the cloud or the state service. Whoever gets its answer frees it. */
 struct amb_cloud_call {
     struct amb_node *node;
     uint64_t term;
@@ -20,6 +20,8 @@
 struct amb_cloud_call *amb_cloud_call_new(struct amb_node *node);
 /* Is the answer still for this node's term? */
 bool amb_cloud_call_current(const struct amb_cloud_call *call);
+/* The node, if the answer is; else NULL. Frees the call. */
+struct amb_node *amb_cloud_call_take(struct amb_cloud_call *call);
 /* Brings the budget of calls up to date. */
 void amb_cloud_refill(struct amb_node *node, amb_ms now);
 /* Takes one call from the budget. False: none may be sent now. */
--- a/include/amberpin/round.h
+++ b/include/amberpin/round.h
@@ -21,7 +21,8 @@
     uint32_t njobs;
     struct amb_line lines[AMB_TEAMS];
     bool urgent_pass;
-    uint8_t recovery_pass; /* jobs of later steps of the order of return have no turn */
+    uint32_t zones_without_batch; /* as a mask (zone_recovery.h) */
+    uint8_t recovery_pass;        /* jobs of later steps of the order of return have no turn */
     bool by_gpus;
     struct amb_slot_marking marking; /* what slots are marked for, each when it is looked at */
     uint64_t marking_serial;
--- a/include/amberpin/zone_recovery.h
+++ b/include/amberpin/zone_recovery.h
@@ -54,6 +54,8 @@
 
 /* How long a machine may be silent before it counts as such. */
 amb_ms amb_zone_patience(const struct amb_node *node);
+/* Is the leader so new that it has heard nobody yet? */
+bool amb_zone_learning(const struct amb_node *node, amb_ms now);
 /* Should the machine report, and does it? */
 bool amb_zone_machine_expected(const struct amb_node *node, const struct amb_machine *machine, amb_ms now);
 bool amb_zone_machine_answers(const struct amb_node *node, const struct amb_machine *machine, amb_ms now);
@@ -62,12 +64,18 @@
 
 /* Judges all zones. Not while a new leader has heard nobody yet. */
 void amb_zone_verdicts_tick(struct amb_node *node, amb_ms now);
+/* The lead is over, or begins: nothing is known. */
+void amb_zone_recovery_clear(struct amb_node *node);
+
+/* ---- what they mean (zone_state.c) ---- */
+
 /* Is the zone back, but not steady yet? Always no while recovery is off. */
 bool amb_zone_returning(const struct amb_node *node, int zone);
-/* Zones in which no batch work may start, as a mask: by verdict, or by what is on record. */
+/* Zones that are lost or returning by their verdicts, as a mask. */
+uint32_t amb_zones_away(const struct amb_node *node);
+/* Zones in which no batch work may start, as a mask: these, and those that are so by what may be on record.
+ */
 uint32_t amb_zones_without_batch(const struct amb_node *node);
-/* The lead is over, or begins: nothing is known. */
-void amb_zone_recovery_clear(struct amb_node *node);
 
 /* ---- the order of return (zone_order.c) ---- */
 
--- a/include/amberpin/zone_recovery/settings.h
+++ b/include/amberpin/zone_recovery/settings.h
@@ -28,5 +28,7 @@
 /* Copies the name at *list, up to the next comma or space, and moves *list behind it. False: there is none
  * left, or it is too long for a name. */
 bool amb_zone_settings_next_class(const char **list, char *name, size_t cap);
+/* Is no name left at this place of a list? */
+bool amb_zone_settings_list_ends(const char *list);
 
 #endif
--- a/lib/cloud_calls.c
+++ b/lib/cloud_calls.c
@@ -14,6 +14,12 @@
     return amb_holds_lead(call->node) && call->node->election.term == call->term;
 }
 
+struct amb_node *amb_cloud_call_take(struct amb_cloud_call *call) {
+    struct amb_node *node = amb_cloud_call_current(call) ? call->node : NULL;
+    free(call);
+    return node;
+}
+
 /* The leader makes nearly all calls; the others read the catalogue once. */
 static double share_by_leader(const struct amb_node *node) {
     if (!node->set.npeers) return 1.0;
--- a/lib/machine_list.c
+++ b/lib/machine_list.c
@@ -94,11 +94,8 @@
 static void list_next_page(struct amb_node *node, amb_ms now);
 
 static void list_done(void *arg, int status, const char *body, size_t len) {
-    struct amb_cloud_call *call = arg;
-    struct amb_node *node = call->node;
-    bool ours = amb_cloud_call_current(call);
-    free(call);
-    if (!ours) return;
+    struct amb_node *node = amb_cloud_call_take(arg);
+    if (!node) return;
     amb_cloud_note_status(node, status);
     cbor_item_t *page = status == 200 ? amb_cbor_parse(body, len) : NULL;
     if (page && cbor_isa_map(page) && amb_cbor_get(page, "rigs"))
--- a/lib/machine_returns.c
+++ b/lib/machine_returns.c
@@ -32,13 +32,10 @@
 }
 
 static void released(void *arg, int status, const char *body, size_t len) {
-    struct amb_cloud_call *call = arg;
-    struct amb_node *node = call->node;
-    struct amb_rental *rental = &node->rental;
+    struct amb_node *node = amb_cloud_call_take(arg);
     (void)body, (void)len;
-    bool ours = amb_cloud_call_current(call);
-    free(call);
-    if (!ours) return;
+    if (!node) return;
+    struct amb_rental *rental = &node->rental;
     amb_cloud_note_status(node, status);
     rental->releasing = false;
     if (status != 200) {
--- a/lib/machines.c
+++ b/lib/machines.c
@@ -30,7 +30,8 @@
     machine->number = node->fleet.numbered++;
     machine->state = AMB_MACHINE_UNPROVEN;
     machine->type = machine->zone = machine->kept_for = -1;
-    machine->known_at = machine->first_at = machine->rented_at = machine->state_at = machine->idle_since = amb_now();
+    machine->known_at = machine->first_at = machine->rented_at = machine->state_at = machine->idle_since =
+        amb_now();
     HASH_ADD_STR(node->fleet.all, name, machine);
     amb_event_post(node, &(struct amb_event){.type = AMB_EVENT_MACHINE_KNOWN, .machine = machine});
     return machine;
--- a/lib/options.c
+++ b/lib/options.c
@@ -78,7 +78,7 @@
 }
 
 /* Classes are known from the platform's settings: what the names mean is checked with these. */
-static void read_return_order(struct reader *r, const char *names) {
+static void read_recovery_order(struct reader *r, const char *names) {
     if (strlen(names) >= sizeof r->o->zone_recovery_order)
         complain(r, ZONE_RECOVERY_ORDER, "the list is too long");
     else
@@ -96,7 +96,7 @@
         return;
     }
     if (!strcmp(name, ZONE_RECOVERY_ORDER)) {
-        if (has_value(r, name, attrs)) read_return_order(r, attrs[1]);
+        if (has_value(r, name, attrs)) read_recovery_order(r, attrs[1]);
         return;
     }
     for (size_t i = 0; i < OPTIONS; i++) {
--- a/lib/plan.c
+++ b/lib/plan.c
@@ -264,13 +264,12 @@
     struct amb_round *r = p->r;
     struct amb_node *n = r->n;
     struct amb_machine *m, *next;
-    uint32_t held_back = amb_zones_without_batch(n);
     for (uint32_t i = 0; i < r->nslots; i++) {
         struct amb_slot *s = &r->slots[i];
         m = s->machine;
         if (!m || s->planned || !is_empty(m) || m->state != AMB_MACHINE_UP) continue;
         /* Idle since batch work may not start there yet, for a bounded time. */
-        if (held_back >> m->zone & 1) continue;
+        if (r->zones_without_batch >> m->zone & 1) continue;
         const struct amb_type *t = &n->catalog.types[m->type];
         amb_ms idle = amb_secs(t->boot_s * n->opt.idle_return);
         amb_ms lead = r->now - n->ctl.leading_since;
--- a/lib/return_record.c
+++ b/lib/return_record.c
@@ -29,11 +29,8 @@
 
 /* The node, if it still leads under the term of the call and waits for it; else NULL. Frees the call. */
 static struct amb_node *take_call(void *arg, enum amb_return_record_state waits) {
-    struct amb_cloud_call *call = arg;
-    struct amb_node *node = call->node;
-    bool ours = amb_cloud_call_current(call) && node->rental.return_record.state == waits;
-    free(call);
-    return ours ? node : NULL;
+    struct amb_node *node = amb_cloud_call_take(arg);
+    return node && node->rental.return_record.state == waits ? node : NULL;
 }
 
 /* ---- the value ---- */
--- a/lib/round.c
+++ b/lib/round.c
@@ -143,6 +143,7 @@
     struct amb_round *r = amb_alloc(sizeof *r);
     r->n = n;
     r->now = now;
+    r->zones_without_batch = amb_zones_without_batch(n);
     r->by_gpus = amb_wdrr_by_gpus(n->set.teams, n->set.nteams);
     amb_pipelines_reckon(n);
     look_at_machines(r, false);
@@ -198,7 +199,7 @@
     w->zone_most = j->spec->spread ? amb_place_spread_most(j->spec->tasks) : 0;
     /* A zone that has just come back may go again: replicas of the order return there at once, batch work
      * that would lose what it has done waits until the zone is steady. */
-    w->zones_barred = j->spec->kind == AMB_SERVICE ? 0 : amb_zones_without_batch(r->n);
+    w->zones_barred = j->spec->kind == AMB_SERVICE ? 0 : r->zones_without_batch;
     limit_zones(r, j, w);
 }
 
@@ -274,13 +275,18 @@
 
 /* ---- admission ---- */
 
+/* Has the job its turn in the pass under way? */
+static bool has_turn(const struct amb_round *r, const struct amb_job *j) {
+    if (r->urgent_pass && amb_job_priority(j) < AMB_HIGH) return false;
+    return j->recovery_step <= r->recovery_pass;
+}
+
 static bool next_item(void *arg, uint32_t team, struct amb_wdrr_item *out) {
     struct amb_round *r = arg;
     struct amb_line *l = &r->lines[team];
     while (l->at < l->n) {
         struct amb_job *j = l->jobs[l->at];
-        if (r->urgent_pass && amb_job_priority(j) < AMB_HIGH) return false;
-        if (j->recovery_step > r->recovery_pass) return false;
+        if (!has_turn(r, j)) return false;
         if (amb_round_wants_start(r, j)) {
             double times = j->spec->kind == AMB_GANG ? j->spec->tasks : 1;
             memset(out, 0, sizeof *out);
@@ -531,8 +537,7 @@
 }
 
 /* More was promised of the machine than it has: work of at most this priority is told to stop until it has
- * it.
- */
+ * it. */
 static void clear_way_of(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
                          const struct amb_spec *waits, enum amb_priority highest) {
     static const struct amb_res nothing = {0, 0, 0};
@@ -547,15 +552,11 @@
     }
 }
 
+/* Says that the slot has changed. For replicas that recover the lowest priority stops first, since they may
+ * need room on many machines at once. */
 static void clear_way(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
-                      const struct amb_spec *waits) {
-    clear_way_of(r, s, claim, waits, AMB_PROD);
-}
-
-/* Best effort first, since what returns may need room on many machines at once. */
-static void clear_way_lowest_first(struct amb_round *r, struct amb_slot *s, const struct amb_claim *claim,
-                                   const struct amb_spec *waits) {
-    for (int highest = AMB_BEST_EFFORT; highest <= AMB_PROD; highest++)
+                      const struct amb_spec *waits, bool lowest_first) {
+    for (int highest = lowest_first ? AMB_BEST_EFFORT : AMB_PROD; highest <= AMB_PROD; highest++)
         clear_way_of(r, s, claim, waits, (enum amb_priority)highest);
 }
 
@@ -567,13 +568,12 @@
     if (best < 0) return NULL;
     struct amb_slot *s = &r->slots[best];
     amb_res_add(&s->room, &w->need, -1);
-    bool returns = amb_job_recovers(r->n, j);
-    /* Says that the slot has changed. */
-    (returns ? clear_way_lowest_first : clear_way)(r, s, &claim, j->spec);
+    bool recovers = amb_job_recovers(r->n, j);
+    clear_way(r, s, &claim, j->spec, recovers);
     s->planned++;
     /* Until it has come, no batch work goes there. */
     if (j->spec->kind == AMB_GANG) s->machine->kept_for = (int)claim.priority;
-    if (returns) amb_round_reserve(s, j->spec);
+    if (recovers) amb_round_reserve(s, j->spec);
     return s;
 }
 
@@ -587,7 +587,7 @@
     for (uint32_t i = 0; all && i < j->spec->tasks; i++) {
         struct amb_slot *s = &r->slots[where[i]];
         j->zone_used[s->zone]--;
-        clear_way(r, s, &claim, j->spec);
+        clear_way(r, s, &claim, j->spec, false);
         s->planned++;
         s->machine->kept_for = (int)claim.priority;
         s->machine->claimed = true;
@@ -653,34 +653,30 @@
     return AMB_TRY_ADMITTED;
 }
 
-/* What was lost with a zone comes back class by class (docs/design.md, exceptions). */
-static uint32_t admit_recovering(struct amb_round *r, const struct amb_wdrr_ops *ops, uint32_t first) {
-    struct amb_node *n = r->n;
-    uint32_t count = 0;
-    for (uint32_t step = 0; step < n->zone_recovery.order.count; step++) {
-        r->recovery_pass = (uint8_t)step;
-        count += amb_wdrr_round(n->set.teams, n->set.nteams, first, ops);
-        for (uint32_t i = 0; i < n->set.nteams; i++) {
-            struct amb_line *l = &r->lines[i];
-            while (l->at < l->n && l->jobs[l->at]->recovery_step <= step) l->at++;
-        }
+/* A pass whose jobs have no further turn, placed or not. */
+static uint32_t admit_pass(struct amb_round *r, const struct amb_wdrr_ops *ops, uint32_t first) {
+    struct amb_settings *set = &r->n->set;
+    uint32_t count = amb_wdrr_round(set->teams, set->nteams, first, ops);
+    for (uint32_t i = 0; i < set->nteams; i++) {
+        struct amb_line *l = &r->lines[i];
+        while (l->at < l->n && has_turn(r, l->jobs[l->at])) l->at++;
     }
-    r->recovery_pass = AMB_NO_STEP;
     return count;
 }
 
 uint32_t amb_round_admit(struct amb_round *r) {
     struct amb_node *n = r->n;
     const struct amb_wdrr_ops ops = {next_item, admit, skip_item, is_idle, r};
-    uint32_t first = n->set.nteams ? n->ctl.turn++ % n->set.nteams : 0;
-    uint32_t count = admit_recovering(r, &ops, first);
+    uint32_t first = n->set.nteams ? n->ctl.turn++ % n->set.nteams : 0, count = 0;
+    /* What was lost with a zone comes back class by class (docs/design.md, exceptions). */
+    for (uint32_t step = 0; step < n->zone_recovery.order.count; step++) {
+        r->recovery_pass = (uint8_t)step;
+        count += admit_pass(r, &ops, first);
+    }
+    r->recovery_pass = AMB_NO_STEP;
     /* What users wait for goes before what may be stopped for it (docs/design.md, exceptions). */
     r->urgent_pass = true;
-    count += amb_wdrr_round(n->set.teams, n->set.nteams, first, &ops);
-    for (uint32_t i = 0; i < n->set.nteams; i++) {
-        struct amb_line *l = &r->lines[i];
-        while (l->at < l->n && amb_job_priority(l->jobs[l->at]) >= AMB_HIGH) l->at++;
-    }
+    count += admit_pass(r, &ops, first);
     r->urgent_pass = false;
     return count + amb_wdrr_round(n->set.teams, n->set.nteams, first, &ops);
 }
--- a/lib/zone_evidence.c
+++ b/lib/zone_evidence.c
@@ -6,6 +6,10 @@
     return amb_secs(node->set.report_s * AMB_ZONE_PATIENCE_REPORTS);
 }
 
+bool amb_zone_learning(const struct amb_node *node, amb_ms now) {
+    return now - node->ctl.leading_since <= amb_zone_patience(node);
+}
+
 bool amb_zone_machine_expected(const struct amb_node *node, const struct amb_machine *machine, amb_ms now) {
     if (machine->zone < 0 || machine->type < 0) return false;
     double boot_s = node->catalog.types[machine->type].boot_s;
--- a/lib/zone_order.c
+++ b/lib/zone_order.c
@@ -176,12 +176,6 @@
                  amb_recovery_wait_name(step->wait));
 }
 
-static bool any_zone_away(const struct amb_node *node) {
-    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
-        if (!amb_zone_verdict_admits_batch(node->zone_recovery.zones[zone].verdict)) return true;
-    return false;
-}
-
 void amb_zone_order_tick(struct amb_node *node, amb_ms now) {
     struct amb_zone_recovery *recovery = &node->zone_recovery;
     struct missing missing[AMB_RECOVERY_STEPS] = {{0}};
@@ -193,7 +187,7 @@
     for (uint32_t i = 0; i < recovery->order.count; i++)
         if (amb_recovery_order_update(&recovery->order, i, missing[i].replicas, wait_of(node, &missing[i])))
             step_changed(&recovery->order.steps[i], now);
-    if (amb_recovery_order_open(&recovery->order) || any_zone_away(node)) return;
+    if (amb_recovery_order_open(&recovery->order) || amb_zones_away(node)) return;
     amb_info("recovery: all %u classes are served", recovery->order.count);
     recovery->order.count = 0;
     amb_zone_record_changed(node);
--- a/lib/zone_record.c
+++ b/lib/zone_record.c
@@ -12,18 +12,15 @@
 
 enum { FORM = 1 }; /* of the records that this version writes */
 
-/* Calls of the leader to the state service: the node, while it leads under the term of the call and waits for
- * its answer. Frees the call. */
+/* The node, if it still leads under the term of the call and waits for it; else NULL. Frees the call. */
 static struct amb_node *take_call(void *arg, enum amb_zone_record_state waits) {
-    struct amb_cloud_call *call = arg;
-    struct amb_node *node = call->node;
-    bool ours = amb_cloud_call_current(call) && node->zone_recovery.record.state == waits;
-    free(call);
-    return ours ? node : NULL;
+    struct amb_node *node = amb_cloud_call_take(arg);
+    return node && node->zone_recovery.record.state == waits ? node : NULL;
 }
 
-static void retry_later(struct amb_node *node, enum amb_zone_record_state state) {
-    node->zone_recovery.record.state = state;
+/* What stands there has to be read, in a while. */
+static void unsure(struct amb_node *node) {
+    node->zone_recovery.record.state = AMB_ZONE_RECORD_UNSURE;
     node->zone_recovery.record.retry_at = amb_now() + node->store.call_timeout;
 }
 
@@ -52,15 +49,11 @@
     amb_w_uint(out, step->lost.priority);
 }
 
-static void put_value(struct amb_buf *out, struct amb_node *node) {
-    struct amb_zone_recovery *recovery = &node->zone_recovery;
+static void put_value(struct amb_buf *out, const struct amb_node *node) {
+    const struct amb_zone_recovery *recovery = &node->zone_recovery;
     uint32_t count = 0;
-    recovery->record.writing_lost = 0;
-    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) {
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
         count += is_on_record(&recovery->zones[zone]);
-        if (!amb_zone_verdict_admits_batch(recovery->zones[zone].verdict))
-            recovery->record.writing_lost |= 1u << zone;
-    }
     amb_w_map(out, 3);
     amb_w_str(out, "form");
     amb_w_uint(out, FORM);
@@ -80,7 +73,7 @@
     if (!node) return;
     struct amb_zone_record *record = &node->zone_recovery.record;
     if (status != 200 || !amb_cbor_uint(amb_cbor_get(body, "epoch"), &record->stamp)) {
-        retry_later(node, AMB_ZONE_RECORD_UNSURE);
+        unsure(node);
         return;
     }
     record->lost = record->writing_lost;
@@ -97,6 +90,7 @@
     amb_txn_guard(&txn, KEY, record->stamp);
     amb_txn_put(&txn, KEY, &value, 0);
     amb_buf_free(&value);
+    record->writing_lost = amb_zones_away(node);
     record->lost |= record->writing_lost;
     record->changed = false;
     record->state = AMB_ZONE_RECORD_WRITING;
@@ -113,7 +107,7 @@
     if (known)
         record->state = AMB_ZONE_RECORD_DUE;
     else
-        retry_later(node, AMB_ZONE_RECORD_UNSURE);
+        unsure(node);
 }
 
 static void read_record(struct amb_node *node) {
--- a/lib/zone_recovery/settings.c
+++ b/lib/zone_recovery/settings.c
@@ -30,3 +30,7 @@
     *list += length;
     return true;
 }
+
+bool amb_zone_settings_list_ends(const char *list) {
+    return !list[strspn(list, SEPARATORS)];
+}
--- a/lib/zone_settings.c
+++ b/lib/zone_settings.c
@@ -43,7 +43,7 @@
             return false;
         }
     }
-    if (!at[strspn(at, ", ")]) return true;
+    if (amb_zone_settings_list_ends(at)) return true;
     snprintf(err, cap, "%s: zone-recovery-order: a name is longer than the %d bytes of a class", file,
              AMB_NAME - 1);
     return false;
--- /dev/null
+++ b/lib/zone_state.c
@@ -0,0 +1,18 @@
+/* What the verdicts on the zones mean to the rest of the leader; nothing here changes them. */
+#include "amberpin/node.h"
+#include "amberpin/zone_recovery.h"
+
+bool amb_zone_returning(const struct amb_node *node, int zone) {
+    return zone >= 0 && node->zone_recovery.zones[zone].verdict == AMB_ZONE_RETURNING;
+}
+
+uint32_t amb_zones_away(const struct amb_node *node) {
+    uint32_t mask = 0;
+    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
+        if (!amb_zone_verdict_admits_batch(node->zone_recovery.zones[zone].verdict)) mask |= 1u << zone;
+    return mask;
+}
+
+uint32_t amb_zones_without_batch(const struct amb_node *node) {
+    return node->zone_recovery.record.lost | amb_zones_away(node);
+}
--- a/lib/zone_verdicts.c
+++ b/lib/zone_verdicts.c
@@ -1,4 +1,4 @@
-/* Evidence from the leader's table of machines, and what the verdicts on the zones mean to the rest of it. */
+/* Verdicts on the zones, from the leader's table of machines. */
 #include "amberpin/log.h"
 #include "amberpin/node.h"
 #include "amberpin/zone_recovery.h"
@@ -95,23 +95,10 @@
 }
 
 void amb_zone_verdicts_tick(struct amb_node *node, amb_ms now) {
-    bool learning =
-        now - node->ctl.leading_since <= amb_zone_patience(node); /* a new leader has heard nobody yet */
-    if (!learning) judge_zones(node, now);
+    if (!amb_zone_learning(node, now)) judge_zones(node, now);
     for (uint32_t zone = 0; zone < node->catalog.nzones; zone++) show_reach(node, zone, now);
 }
 
-bool amb_zone_returning(const struct amb_node *node, int zone) {
-    return zone >= 0 && node->zone_recovery.zones[zone].verdict == AMB_ZONE_RETURNING;
-}
-
-uint32_t amb_zones_without_batch(const struct amb_node *node) {
-    uint32_t mask = node->zone_recovery.record.lost;
-    for (uint32_t zone = 0; zone < node->catalog.nzones; zone++)
-        if (!amb_zone_verdict_admits_batch(node->zone_recovery.zones[zone].verdict)) mask |= 1u << zone;
-    return mask;
-}
-
 void amb_zone_recovery_clear(struct amb_node *node) {
     struct amb_zone_recovery *recovery = &node->zone_recovery;
     for (uint32_t zone = 0; zone < AMB_ZONES; zone++) amb_zone_health_free(&recovery->zones[zone]);
--- a/lib/zones.c
+++ b/lib/zones.c
@@ -46,8 +46,7 @@
     enum amb_zone_reach reach[AMB_ZONES];
     uint32_t unreachable = 0;
     count_machines(node, now, counts);
-    bool learning =
-        now - node->ctl.leading_since <= amb_zone_patience(node); /* a new leader has heard nobody yet */
+    bool learning = amb_zone_learning(node, now);
     for (uint32_t zone = 0; zone < AMB_ZONES; zone++) {
         reach[zone] = learning ? AMB_ZONE_REACHED : reach_by_count(counts[zone]);
         unreachable += reach[zone] == AMB_ZONE_UNREACHABLE;
--- a/tests/standin/faults.c
+++ b/tests/standin/faults.c
@@ -49,7 +49,7 @@
 }
 
 int sim_zones(void) {
-    return world.load & SIM_LOAD_ZONAL ? 3 : 2;
+    return world.load & SIM_LOAD_ZONAL ? SIM_ZONES : 2;
 }
 
 static const char *const zone_names[SIM_ZONES] = {"a", "b", "c"};
--- a/tests/standin/large_day.c
+++ b/tests/standin/large_day.c
@@ -11,7 +11,7 @@
 #include "amberpin/log.h"
 
 #ifdef HAVE_GSL
-#include <gsl/gsl_histogram.h>
+#include "quantile.h"
 #endif
 
 #include <stdio.h>
@@ -82,18 +82,6 @@
     began = now;
 }
 
-#ifdef HAVE_GSL
-static double quantile(const gsl_histogram *histogram, double share) {
-    double seen = 0, all = gsl_histogram_sum(histogram), low = 0, high = 0;
-    for (size_t i = 0; i < gsl_histogram_bins(histogram); i++) {
-        seen += gsl_histogram_get(histogram, i);
-        gsl_histogram_get_range(histogram, i, &low, &high);
-        if (seen >= all * share) break;
-    }
-    return high;
-}
-#endif
-
 static void print_turns(double day_s, int nodes) {
     for (int role = 0; role < ROLES; role++) {
         const struct turns *of = &turns[role];
@@ -102,8 +90,8 @@
                of->total_ms / day_s / others, of->count, of->longest_ms);
 #ifdef HAVE_GSL
         if (of->histogram)
-            printf(", 99.9 of 100 within %.1f, 99.99 within %.1f", quantile(of->histogram, 0.999),
-                   quantile(of->histogram, 0.9999));
+            printf(", 99.9 of 100 within %.1f, 99.99 within %.1f", quantile(of->histogram, 0.999).high,
+                   quantile(of->histogram, 0.9999).high);
 #endif
         printf("\n");
     }
--- a/tests/standin/zone_days.c
+++ b/tests/standin/zone_days.c
@@ -3,9 +3,9 @@
  * Long, outside of CI:
  *
  *   zone_days FIRST LAST */
+#include "quantile.h"
 #include "standin.h"
 
-#include <gsl/gsl_histogram.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -61,16 +61,6 @@
     return 0;
 }
 
-static double quantile(const gsl_histogram *histogram, double share) {
-    double sum = gsl_histogram_sum(histogram), seen = 0, low = 0, high = 0;
-    for (size_t i = 0; i < gsl_histogram_bins(histogram); i++) {
-        seen += gsl_histogram_get(histogram, i);
-        gsl_histogram_get_range(histogram, i, &low, &high);
-        if (seen >= share * sum) break;
-    }
-    return low;
-}
-
 static void play(const struct scenario *scenario, uint64_t seed, bool recovery, gsl_histogram **side) {
     unsigned load = SIM_LOAD_ZONAL | (recovery ? SIM_LOAD_ZONE_RECOVERY : 0);
     const struct sim_plan plan = {&sim_zonal, seed, DAY_MS, load, scenario->faults, scenario->count};
@@ -87,8 +77,8 @@
     for (int figure = 0; figure < FIGURES; figure++) {
         const gsl_histogram *without = sides[0][figure], *with = sides[1][figure];
         printf("  %-32s %8.2f %8.2f %8.2f -> %8.2f %8.2f %8.2f\n", figures[figure].name,
-               gsl_histogram_mean(without), quantile(without, 0.5), quantile(without, 0.9),
-               gsl_histogram_mean(with), quantile(with, 0.5), quantile(with, 0.9));
+               gsl_histogram_mean(without), quantile(without, 0.5).low, quantile(without, 0.9).low,
+               gsl_histogram_mean(with), quantile(with, 0.5).low, quantile(with, 0.9).low);
     }
 }
 
