Say that a node stood still, and what an operations desk finds in the log

Need: from outside a frozen controller only stopped moving. Also tests that a broken job rents nothing and is tried with one task.

--- a/include/amberpin/node.h
+++ b/include/amberpin/node.h
@@ -50,6 +50,7 @@
     uint32_t turn; /* whose turn comes first */
     double turn_s; /* what the leader's turns are measured in (amb_settings_beat) */
     struct amb_timer timer, round_timer;
+    amb_ms ticked_at; /* this node's last turn, leader or not */
     uint32_t ndemands;
     struct amb_demand demands[AMB_DEMANDS];
     amb_ms plan_at;
--- a/lib/controller.c
+++ b/lib/controller.c
@@ -179,10 +179,23 @@
 
 /* ---- the leader's turns ---- */
 
+/* Report periods without a turn after which a node says that it stood still. */
+static const double STOOD_STILL_REPORTS = 1;
+
+/* For operators: what this node did not do meanwhile, others have done. (What was decided before acts on
+ * nothing: due timers run first, and leases have ended by the clock.) */
+static void note_standstill(struct amb_node *n, amb_ms now) {
+    amb_ms since = now - n->ctl.ticked_at;
+    if (n->ctl.ticked_at && since > amb_secs(n->set.report_s * STOOD_STILL_REPORTS))
+        amb_info("controller: this node stood still for %lld ms", (long long)since);
+    n->ctl.ticked_at = now;
+}
+
 static void tick(void *arg) {
     struct amb_node *n = arg;
     struct amb_controller *c = &n->ctl;
     amb_ms now = amb_now();
+    note_standstill(n, now);
     amb_timer_in(&c->timer, amb_secs(n->ctl.turn_s * 0.1), tick, n);
     amb_rental_tick(n, now);
     amb_deputy_tick(n, now);
--- a/tests/test_rentals.c
+++ b/tests/test_rentals.c
@@ -226,6 +226,39 @@
     }
 }
 
+/* For a job that is taken for broken nothing is rented, and one task of it is tried at a time. */
+static void broken_jobs_take_little(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        bool broken;
+        uint32_t bound, rented;
+        bool wants_start;
+    } rows[] = {
+        {"sound", false, 0, 1, true},
+        {"sound, a task is placed", false, 1, 1, true},
+        {"broken", true, 0, 0, true},
+        {"broken, a task is tried", true, 1, 0, false},
+    };
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        end(NULL);
+        setup(NULL);
+        strcpy(node->catalog.types[0].zones[0], "a");
+        node->catalog.types[0].nzones = 1;
+        amb_catalog_zone(&node->catalog, "a");
+        node->rental.calls.tokens = 9;
+        struct amb_job *job = add_job("wk-1", AMB_SERVICE, 3);
+        if (rows[i].bound) bound(job, 0, "m-1", 1);
+        job->failures.broken = rows[i].broken;
+        struct amb_round *round = amb_round_new(node, amb_now());
+        if (amb_round_wants_start(round, job) != rows[i].wants_start) fail_msg("%s: starts", rows[i].what);
+        amb_plan(round);
+        amb_round_free(round);
+        int type = -1;
+        if (requests(&type) != rows[i].rented) fail_msg("%s: %u rented", rows[i].what, requests(&type));
+    }
+}
+
 /* The cloud's list says how long a machine has been rented: boots that do not end are returned after four
  * boot times, though this leader has only just begun. */
 static void overdue_boots_keep_their_age(void **state) {
@@ -316,6 +349,7 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test_setup_teardown(broken_jobs_take_little, setup, end),
         cmocka_unit_test_setup_teardown(overdue_boots_keep_their_age, setup, end),
         cmocka_unit_test_setup_teardown(rental_names_are_never_used_twice, begin, end),
         cmocka_unit_test_setup_teardown(rentals_are_recorded_until_they_must_be_listed, begin, end),
