Machines are called unusable only once the catalogue is known

Change: the type is called missing only once the catalogue is known. Test in test_fleet_limits, which fails without it.

--- a/lib/machines.c
+++ b/lib/machines.c
@@ -113,10 +113,11 @@
     for (struct amb_task *task = machine->tasks; task; task = task->next) task->job->zone_used[zone]++;
 }
 
+/* type: that is not in the catalogue; NULL: the zone is at fault. */
 static void say_beyond_bounds(struct amb_machine *machine, const char *type, const char *zone) {
     if (machine->beyond_bounds) return;
     machine->beyond_bounds = true;
-    if (machine->type < 0)
+    if (type)
         amb_error(
             "machine %s can't be used: type %s is not in the catalogue, which holds %d (AMB_TYPES) at most",
             machine->name, type, AMB_TYPES);
@@ -129,8 +130,10 @@
                              const char *zone) {
     if (machine->type < 0 && type[0]) machine->type = amb_catalog_type(&node->catalog, type);
     if (machine->zone < 0) amb_machine_learn_zone(machine, amb_catalog_zone(&node->catalog, zone));
-    if ((machine->type < 0 && type[0]) || (machine->zone < 0 && zone[0]))
-        say_beyond_bounds(machine, type, zone);
+    /* (A leader that had just started called every machine it heard of unusable.) */
+    bool type_missing = machine->type < 0 && type[0] && node->rental.catalog_known;
+    bool zone_missing = machine->zone < 0 && zone[0];
+    if (type_missing || zone_missing) say_beyond_bounds(machine, type_missing ? type : NULL, zone);
 }
 
 void amb_machine_rest(struct amb_machine *machine, double seconds, const char *cause) {
--- a/tests/test_fleet_limits.c
+++ b/tests/test_fleet_limits.c
@@ -154,6 +154,25 @@
     }
 }
 
+/* A leader that has just started hears of machines before it has read the catalogue: they are not used yet,
+ * and are once it is known. */
+static void machines_wait_for_the_catalogue(void **state) {
+    (void)state;
+    struct amb_machine *machine = amb_machine_get(node, "m-1", true);
+    machine->state = AMB_MACHINE_UP;
+    machine->reported_at = amb_now();
+    node->rental.catalog_known = false;
+    node->catalog.ntypes = 0;
+    amb_machine_learn_place(node, machine, "g8", "a");
+    assert_false(amb_machine_usable(node, machine, amb_now()));
+    assert_false(machine->beyond_bounds);
+    strcpy(node->catalog.types[0].name, "g8");
+    node->catalog.ntypes = 1;
+    node->rental.catalog_known = true;
+    amb_machine_learn_place(node, machine, "g8", "a");
+    assert_true(amb_machine_usable(node, machine, amb_now()));
+}
+
 /* ---- the cloud's list ---- */
 
 static void answer_list_page(uint32_t first, uint32_t count, bool more) {
@@ -262,6 +281,7 @@
         cmocka_unit_test_setup_teardown(progress_of_many_jobs_is_told_in_parts, begin, end),
         cmocka_unit_test_setup_teardown(the_longest_gone_are_forgotten, begin, end),
         cmocka_unit_test_setup_teardown(machines_beyond_a_bound_are_not_used, begin, end),
+        cmocka_unit_test_setup_teardown(machines_wait_for_the_catalogue, begin, end),
         cmocka_unit_test_setup_teardown(long_lists_keep_to_the_calls_allowed, begin, end),
         cmocka_unit_test_setup_teardown(starts_beyond_an_answer_go_out_next, begin, end),
         cmocka_unit_test(quotas_that_hold_no_such_fleet_are_refused),
