--- a/tests/test_meetings_leader.c
+++ b/tests/test_meetings_leader.c
@@ -2,54 +2,21 @@
  * what a leader without news does. Every rule must hold at every moment, what was accepted must get done, and
  * the day must have brought the meeting about: as many cancellations as the table says, at least. */
 #include "check.h"
+#include "day_table.h"
 #include "named_tests.h"
 #include "standin.h"
 
 #include "amberpin/log.h"
 
 enum {
-    LENGTH = 300000,
     FIRST_SEED = 1,
     LAST_SEED = 5,
-    FAULTS = 40,
     LEASE = 10000, /* of sim_small */
     CANCEL = 30000,
     LONG_CUT = 2 * CANCEL,
     LONG_DEAF = 2 * LEASE,
 };
 
-struct day {
-    const char *what;
-    uint32_t cancelled; /* at least, over all seeds */
-    unsigned load;
-    struct sim_fault faults[FAULTS]; /* ends with one that begins at 0 */
-};
-
-static size_t fault_count(const struct day *day) {
-    size_t n = 0;
-    while (n < FAULTS && day->faults[n].at) n++;
-    return n;
-}
-
-static void play_seeds(const struct day *day, uint64_t first, uint64_t last) {
-    uint32_t cancelled = 0;
-    for (uint64_t seed = first; seed <= last; seed++) {
-        const struct sim_plan plan = {.size = &sim_small,
-                                      .seed = seed,
-                                      .length = LENGTH,
-                                      .load = day->load,
-                                      .faults = day->faults,
-                                      .fault_count = fault_count(day)};
-        struct sim_result r = sim_play(&plan);
-        if (r.broken[0]) fail_msg("%s, seed %llu: %s", day->what, (unsigned long long)seed, r.broken);
-        if (r.accepted < 12 || r.done < 3 || r.starts < 10 || r.open)
-            fail_msg("%s, seed %llu: %u accepted, %u done, %u starts, %u left open", day->what,
-                     (unsigned long long)seed, r.accepted, r.done, r.starts, r.open);
-        cancelled += r.cancelled;
-    }
-    if (cancelled < day->cancelled) fail_msg("%s: only %u cancellations", day->what, cancelled);
-}
-
 static void play(const struct day *day) {
     play_seeds(day, FIRST_SEED, LAST_SEED);
 }
--- a/tests/test_meetings_operations.c
+++ b/tests/test_meetings_operations.c
@@ -3,14 +3,13 @@
  * Every rule must hold at every moment, what was accepted must get done, and the day must have had as many
  * cancellations as the table says, at least. */
 #include "check.h"
+#include "day_table.h"
 #include "named_tests.h"
 #include "standin.h"
 
 enum {
-    LENGTH = 300000,
     FIRST_SEED = 1,
     LAST_SEED = 3,
-    FAULTS = 8,
     LEADER = -1,
     MOST = 80,       /* percent */
     LEASE = 10000,   /* of sim_small */
@@ -18,36 +17,8 @@
     SILENCE = 75000, /* of a node that is gone for more than a minute */
 };
 
-struct day {
-    const char *what;
-    uint32_t cancelled; /* at least, over all seeds */
-    unsigned load;
-    struct sim_fault faults[FAULTS]; /* ends with one that begins at 0 */
-};
-
-static size_t fault_count(const struct day *day) {
-    size_t n = 0;
-    while (n < FAULTS && day->faults[n].at) n++;
-    return n;
-}
-
 static void play(const struct day *day) {
-    uint32_t cancelled = 0;
-    for (uint64_t seed = FIRST_SEED; seed <= LAST_SEED; seed++) {
-        const struct sim_plan plan = {.size = &sim_small,
-                                      .seed = seed,
-                                      .length = LENGTH,
-                                      .load = day->load,
-                                      .faults = day->faults,
-                                      .fault_count = fault_count(day)};
-        struct sim_result r = sim_play(&plan);
-        if (r.broken[0]) fail_msg("%s, seed %llu: %s", day->what, (unsigned long long)seed, r.broken);
-        if (r.accepted < 12 || r.done < 3 || r.starts < 10 || r.open)
-            fail_msg("%s, seed %llu: %u accepted, %u done, %u starts, %u left open", day->what,
-                     (unsigned long long)seed, r.accepted, r.done, r.starts, r.open);
-        cancelled += r.cancelled;
-    }
-    if (cancelled < day->cancelled) fail_msg("%s: only %u cancellations", day->what, cancelled);
+    play_seeds(day, FIRST_SEED, LAST_SEED);
 }
 
 static void play_all(const struct day *days, size_t count) {
