--- a/include/amberpin/round.h
+++ b/include/amberpin/round.h
@@ -46,10 +46,10 @@
 struct amb_slot *amb_round_add_type(struct amb_round *r, int type, int zone, bool spot);
 bool amb_round_wants_start(const struct amb_round *r, const struct amb_job *j);
 void amb_round_wish(struct amb_round *r, struct amb_job *j, struct amb_wish *w);
-/* From now on marks say where the image is, and what fetching it elsewhere means for a start in time (or,
- * when nobody waits for its start, takes of what the task runs for). */
 /* Batch work leaves the task this room on the slot's machine until the next plan. */
 void amb_round_reserve(struct amb_slot *slot, const struct amb_spec *spec);
+/* From now on marks say where the image is, and what fetching it elsewhere means for a start in time (or,
+ * when nobody waits for its start, takes of what the task runs for). */
 void amb_round_mark(struct amb_round *r, const struct amb_spec *spec, const char *image);
 /* From now on they say that any room will do. */
 void amb_round_mark_any(struct amb_round *r);
--- a/include/amberpin/util.h
+++ b/include/amberpin/util.h
@@ -17,6 +17,11 @@
     return (amb_ms)(s * 1000);
 }
 
+/* Of two moments, on the same clock. */
+static inline int64_t amb_earlier(int64_t a, int64_t b) {
+    return a < b ? a : b;
+}
+
 void *amb_alloc(size_t n); /* zeroed; ends the process when there is no memory */
 void *amb_grow(void *p, size_t n);
 
--- a/lib/machine_list.c
+++ b/lib/machine_list.c
@@ -37,11 +37,11 @@
     bool age_known = amb_cbor_num(amb_cbor_get(entry, "held_s"), &held);
     /* (A new leader once counted boots that would never end from its own beginning: six machines that had
      * been paid for since 250 s were returned at 604 s.) */
-    if (age_known && asked_at - amb_secs(held) < machine->rented_at)
-        machine->rented_at = asked_at - amb_secs(held);
+    amb_ms rented_at = asked_at - amb_secs(held);
+    if (age_known && rented_at < machine->rented_at) machine->rented_at = rented_at;
     if (!known) {
         amb_cbor_bool(amb_cbor_get(entry, "driftwood"), &machine->spot);
-        if (age_known) machine->known_at = asked_at - amb_secs(held);
+        if (age_known) machine->known_at = rented_at;
         if (amb_cbor_eq(stance, "booting")) amb_machine_state(machine, AMB_MACHINE_BOOTING, "listed");
     }
     /* A list may be old, but a machine that failed once never works again. */
--- a/lib/pipelines.c
+++ b/lib/pipelines.c
@@ -12,10 +12,6 @@
     return spec->estimate_s * ESTIMATE_ERROR;
 }
 
-static int64_t earlier(int64_t a, int64_t b) {
-    return a < b ? a : b;
-}
-
 /* ---- what the graph asks and tells ---- */
 
 static enum amb_outcome outcome(void *owner, const char *name) {
@@ -106,11 +102,11 @@
 
 int64_t amb_job_due_wall(const struct amb_job *job) {
     int64_t own = dependent_of(job).need.due_wall;
-    return job->is_needed ? earlier(own, job->needed.due_wall) : own;
+    return job->is_needed ? amb_earlier(own, job->needed.due_wall) : own;
 }
 
 int64_t amb_job_order_wall(const struct amb_job *job) {
     int64_t since = amb_job_ready_wall(job);
     if (!job->is_needed && !job->awaits) return since;
-    return earlier(since, latest_start_wall(job));
+    return amb_earlier(since, latest_start_wall(job));
 }
--- a/lib/start_patience.c
+++ b/lib/start_patience.c
@@ -39,10 +39,6 @@
     return j->spec->kind == AMB_ARRAY && j->spec->priority < AMB_HIGH && j->team->opportunistic;
 }
 
-static int64_t earlier(int64_t a, int64_t b) {
-    return a < b ? a : b;
-}
-
 /* When the job is to be done, by its deadline or else by its class's objective. */
 static int64_t due_of(const struct amb_node *n, const struct amb_job *j) {
     const struct amb_spec *s = j->spec;
@@ -50,7 +46,7 @@
     for (uint32_t i = 0; i < n->set.nobjectives && s->deadline_s <= 0; i++) {
         const struct amb_objective *o = &n->set.objectives[i];
         if (strcmp(o->kind, "finished") || strcmp(o->class_name, s->class_name)) continue;
-        due = earlier(due, amb_job_ready_wall(j) + amb_secs(o->within_s));
+        due = amb_earlier(due, amb_job_ready_wall(j) + amb_secs(o->within_s));
     }
     return due;
 }
--- a/lib/wdrr.c
+++ b/lib/wdrr.c
@@ -57,7 +57,7 @@
 
 bool amb_wdrr_within_guarantee(const struct amb_team *t, const struct amb_res *need) {
     const double slack = 1e-6;
-    if (t->guarantee.cpus <= 0 && t->guarantee.gpus <= 0) return false;
+    if (!has_guarantee(t)) return false;
     if (t->guarantee.cpus > 0 && t->used.cpus + need->cpus > t->guarantee.cpus + slack) return false;
     if (t->guarantee.gpus > 0 && t->used.gpus + need->gpus > t->guarantee.gpus + slack) return false;
     return true;
--- a/tests/standin/faults.c
+++ b/tests/standin/faults.c
@@ -8,10 +8,14 @@
     AFTERMATH_MS = 25000, /* late copies are there, nodes are back */
 };
 
+static bool is_on(const struct sim_fault *fault) {
+    return world.now >= fault->at && world.now < fault->at + fault->lasts;
+}
+
 bool sim_fault_active(enum sim_fault_kind kind, int which) {
     for (size_t i = 0; i < world.fault_count; i++) {
         const struct sim_fault *fault = &world.faults[i];
-        if (fault->kind != kind || world.now < fault->at || world.now >= fault->at + fault->lasts) continue;
+        if (fault->kind != kind || !is_on(fault)) continue;
         if (which < 0 || fault->which == which) return true;
     }
     return false;
@@ -20,7 +24,7 @@
 bool sim_fault_strikes(enum sim_fault_kind kind) {
     for (size_t i = 0; i < world.fault_count; i++) {
         const struct sim_fault *fault = &world.faults[i];
-        if (fault->kind != kind || world.now < fault->at || world.now >= fault->at + fault->lasts) continue;
+        if (fault->kind != kind || !is_on(fault)) continue;
         int percent = fault->which < 0 ? USUAL_PERCENT : fault->which;
         if ((int)(sim_random() % 100) < percent) return true;
     }
@@ -36,8 +40,8 @@
 amb_ms sim_thaws_at(int node) {
     for (size_t i = 0; node >= 0 && i < world.fault_count; i++) {
         const struct sim_fault *fault = &world.faults[i];
-        if (fault->kind != SIM_FREEZE || fault->which != node) continue;
-        if (world.now >= fault->at && world.now < fault->at + fault->lasts) return fault->at + fault->lasts;
+        if (fault->kind == SIM_FREEZE && fault->which == node && is_on(fault))
+            return fault->at + fault->lasts;
     }
     return 0;
 }
--- a/tests/test_rentals.c
+++ b/tests/test_rentals.c
@@ -76,6 +76,17 @@
     return n;
 }
 
+/* The node begins anew, and may rent machines that take 50 s to boot, in one zone. */
+static void anew_with_a_cloud(void) {
+    end(NULL);
+    setup(NULL);
+    strcpy(node->catalog.types[0].zones[0], "a");
+    node->catalog.types[0].nzones = 1;
+    node->catalog.types[0].boot_s = 50;
+    amb_catalog_zone(&node->catalog, "a");
+    node->rental.calls.tokens = 9;
+}
+
 static void plan_now(void) {
     struct amb_round *r = amb_round_new(node, amb_now());
     amb_plan(r);
@@ -194,14 +205,8 @@
         {"nobody is heard", 7000, false, false, true, 0},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
-        end(NULL);
-        setup(NULL);
+        anew_with_a_cloud();
         amb_ms now = amb_now() + 1000000;
-        strcpy(node->catalog.types[0].zones[0], "a");
-        node->catalog.types[0].nzones = 1;
-        node->catalog.types[0].boot_s = 50;
-        amb_catalog_zone(&node->catalog, "a");
-        node->rental.calls.tokens = 9;
         struct amb_job *j = add_job("wk-1", AMB_SERVICE, 1);
         bound(j, 0, "m-1", 1);
         if (rows[i].over) j->state = AMB_JOB_CANCELLED;
@@ -241,12 +246,7 @@
         {"broken, a task is tried", true, 1, 0, false},
     };
     for (size_t i = 0; i < ROWS(rows); i++) {
-        end(NULL);
-        setup(NULL);
-        strcpy(node->catalog.types[0].zones[0], "a");
-        node->catalog.types[0].nzones = 1;
-        amb_catalog_zone(&node->catalog, "a");
-        node->rental.calls.tokens = 9;
+        anew_with_a_cloud();
         struct amb_job *job = add_job("wk-1", AMB_SERVICE, 3);
         if (rows[i].bound) bound(job, 0, "m-1", 1);
         job->failures.broken = rows[i].broken;
@@ -269,13 +269,7 @@
         bool returned;
     } rows[] = {{"just rented", 5, false}, {"late", 190, false}, {"overdue", 210, true}};
     for (size_t i = 0; i < ROWS(rows); i++) {
-        end(NULL);
-        setup(NULL);
-        strcpy(node->catalog.types[0].zones[0], "a");
-        node->catalog.types[0].nzones = 1;
-        node->catalog.types[0].boot_s = 50;
-        amb_catalog_zone(&node->catalog, "a");
-        node->rental.calls.tokens = 9;
+        anew_with_a_cloud();
         struct amb_machine *machine = amb_machine_get(node, "m-1", true); /* from its predecessor's word */
         amb_machine_state(machine, AMB_MACHINE_BOOTING, "rented");
         amb_rental_tick(node, amb_now());
