--- a/review/1/play.py
+++ b/review/1/play.py
@@ -21,7 +21,7 @@
     async def submitter():
         nonlocal accepted
         while waiting and not enough():
-            status, _ = await fleet.submit(waiting.pop(0), note=False)
+            status, _ = await fleet.submit(waiting.pop(0))
             accepted += status in (200, 201)
 
     tasks = [asyncio.ensure_future(submitter()) for _ in range(SUBMITTERS)]
--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -169,8 +169,11 @@
             status, answer = await connection.call(method, path, value, timeout, raw)
             connection.close()
         if note:
-            self.record("request", what=method + "_" + path, node=node.member if node else "-", status=status,
-                        answer=str(answer).replace(" ", "")[:100])
+            sent = ("%d_bytes" % len(raw) if raw is not None else "none" if value is None else
+                    "%s_%s_legs_%d_awaits_%d" % (value["ref"], value["shape"], value["legs"],
+                                                 len(value.get("awaits") or [])))
+            self.record("request", what=method + "_" + path, sent=sent, node=node.member if node else "-",
+                        status=status, answer=str(answer).replace(" ", "")[:100])
         return status, answer
 
     async def submit(self, job, for_s=60.0, note=True):
