Bound what all open lists and maps of a body claim together

Cause: libcbor allocates and clears 8 bytes for each item that a list claims, 16 for each pair of a map, when it reads the head. Each claim was compared with the bytes after it, but lists in lists each may claim those same bytes: 2,000 lists, each the first item of the one around it, claim 2,000 times the body.

Change: before memory is allocated, the body is checked to be well-formed as a whole, in a fixed amount of stack (cbor_check.c): the items that all open lists, maps and tags still lack may not exceed the bytes that are left, since each takes one at least. libcbor's streaming decoder reads the heads. What is accepted is what libcbor accepts, the limit of nesting and UTF-8 included: test_body_memory compares the two on all bodies of two bytes, 300,000 drawn ones, and texts at the edges of RFC 3629.

--- a/lib/codec/cbor_item.c
+++ b/lib/codec/cbor_item.c
@@ -1,53 +1,17 @@
 #include "amberpin/codec/cbor_item.h"
 
 #include "amberpin/base/util.h"
+#include "amberpin/codec/cbor_check.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-/* libcbor allocates memory for the claimed number of items of a list or map before it reads them, so a body
- * of five bytes could exhaust the memory. Claimed lengths are therefore checked against the rest of the input
- * first. */
-struct length_check {
-    size_t bytes_left;
-    bool too_long;
-};
-
-static void check_list_length(void *context, size_t items) {
-    struct length_check *check = context;
-    if (items > check->bytes_left) check->too_long = true;
-}
-
-static void check_map_length(void *context, size_t pairs) {
-    struct length_check *check = context;
-    if (pairs > check->bytes_left / 2) check->too_long = true;
-}
-
-static bool has_plausible_lengths(const unsigned char *data, size_t len) {
-    struct cbor_callbacks callbacks = cbor_empty_callbacks;
-    callbacks.array_start = check_list_length;
-    callbacks.map_start = check_map_length;
-    struct length_check check = {len, false};
-    while (check.bytes_left && !check.too_long) {
-        struct cbor_decoder_result result =
-            cbor_stream_decode(data + (len - check.bytes_left), check.bytes_left, &callbacks, &check);
-        if (result.status != CBOR_DECODER_FINISHED || !result.read) return false;
-        check.bytes_left -= result.read;
-    }
-    return !check.too_long;
-}
-
 cbor_item_t *amb_cbor_parse(const void *data, size_t len) {
+    /* libcbor allocates memory for the claimed number of items of a list or map before it reads them, and for
+     * all open lists and maps together, so what they claim is checked first. */
     struct cbor_load_result result;
-    if (!len || !has_plausible_lengths(data, len)) return NULL;
-    cbor_item_t *item = cbor_load(data, len, &result);
-    if (!item) return NULL;
-    if (result.read != len) {
-        cbor_decref(&item);
-        return NULL;
-    }
-    return item;
+    return amb_cbor_is_well_formed(data, len) ? cbor_load(data, len, &result) : NULL;
 }
 
 static bool is_text(const cbor_item_t *item) {
