--- a/tests/support/fake_store.c
+++ b/tests/support/fake_store.c
@@ -1,4 +1,5 @@
 #include "fake_store.h"
+#include "cbor_items.h"
 #include "check.h"
 #include "fake_http.h"
 
@@ -8,21 +9,21 @@
 
 struct key {
     char name[256];
-    cbor_item_t *value;
+    const struct amb_cbor_item *value;
     uint64_t revision;
 };
 
 static struct key keys[MAX_KEYS]; /* sorted by name */
 static size_t key_count, late_count, largest_value;
-static cbor_item_t *late_txns[MAX_LATE];
+static const struct amb_cbor_item *late_txns[MAX_LATE];
 static uint64_t revision;
 static struct fake_store_limits limits;
 static uint32_t changes_since_refill;
 static size_t answer_counts[MAX_STATUS];
 
 void fake_store_reset(void) {
-    for (size_t i = 0; i < key_count; i++) cbor_decref(&keys[i].value);
-    for (size_t i = 0; i < late_count; i++) cbor_decref(&late_txns[i]);
+    for (size_t i = 0; i < key_count; i++) cbor_item_free(keys[i].value);
+    for (size_t i = 0; i < late_count; i++) cbor_item_free(late_txns[i]);
     key_count = late_count = largest_value = 0;
     revision = 100;
     changes_since_refill = 0;
@@ -51,7 +52,7 @@
     return i < key_count && !strcmp(keys[i].name, name) ? &keys[i] : NULL;
 }
 
-static void set_key(const char *name, const cbor_item_t *value, uint64_t at_revision) {
+static void set_key(const char *name, const struct amb_cbor_item *value, uint64_t at_revision) {
     struct key *key = find(name);
     if (!key) {
         size_t i = lower_bound(name);
@@ -61,16 +62,16 @@
         memset(key, 0, sizeof *key);
         snprintf(key->name, sizeof key->name, "%s", name);
     } else {
-        cbor_decref(&key->value);
+        cbor_item_free(key->value);
     }
-    key->value = cbor_incref((cbor_item_t *)value);
+    key->value = cbor_item_copy(value);
     key->revision = at_revision;
 }
 
 static void remove_key(const char *name) {
     struct key *key = find(name);
     if (!key) return;
-    cbor_decref(&key->value);
+    cbor_item_free(key->value);
     size_t i = (size_t)(key - keys);
     memmove(key, key + 1, (--key_count - i) * sizeof *keys);
 }
@@ -81,9 +82,8 @@
         remove_key(name);
         return revision;
     }
-    cbor_item_t *item = amb_cbor_parse(value->data, value->len);
+    const struct amb_cbor_item *item = amb_cbor_parse(value->data, value->len);
     set_key(name, item, revision);
-    cbor_decref(&item);
     return revision;
 }
 
@@ -92,7 +92,7 @@
     return key ? key->revision : 0;
 }
 
-const cbor_item_t *fake_store_value(const char *name) {
+const struct amb_cbor_item *fake_store_value(const char *name) {
     const struct key *key = find(name);
     return key ? key->value : NULL;
 }
@@ -121,7 +121,7 @@
     if (cbor_isa_array(item)) {
         size_t count = cbor_array_size(item);
         separators = count ? count - 1 : 0;
-        for (size_t i = 0; i < count; i++) stack[(*depth)++] = amb_cbor_list_item(item, i);
+        for (size_t i = 0; i < count; i++) stack[(*depth)++] = cbor_array_handle(item)[i];
     } else if (cbor_isa_map(item)) {
         size_t count = cbor_map_size(item);
         const struct cbor_pair *pairs = cbor_map_handle(item);
@@ -134,41 +134,44 @@
     return 2 + 2 * separators;
 }
 
-static size_t json_size(const cbor_item_t *item) {
+static size_t json_size(const struct amb_cbor_item *value) {
     enum { ITEMS = 256 };
-    const cbor_item_t *stack[ITEMS] = {item};
+    cbor_item_t *tree = cbor_tree_of(value);
+    const cbor_item_t *stack[ITEMS] = {tree};
     size_t size = 0;
     for (size_t depth = 1; depth;) {
         assert_true(depth < ITEMS / 2);
-        item = stack[--depth];
+        const cbor_item_t *item = stack[--depth];
         size += json_item_size(item, stack, &depth);
     }
+    cbor_decref(&tree);
     return size;
 }
 
 /* ---- calls ---- */
 
-static const cbor_item_t *change_key(const cbor_item_t *change, char *name, size_t capacity) {
-    const cbor_item_t *put = amb_cbor_map_get(change, "put");
+static const struct amb_cbor_item *change_key(const struct amb_cbor_item *change, char *name,
+                                              size_t capacity) {
+    const struct amb_cbor_item *put = amb_cbor_map_get(change, "put");
     assert_true(amb_cbor_copy_string(put ? put : amb_cbor_map_get(change, "remove"), name, capacity));
     return put ? amb_cbor_map_get(change, "value") : NULL;
 }
 
-static bool is_within_limits(const cbor_item_t *then) {
+static bool is_within_limits(const struct amb_cbor_item *then) {
     if (limits.txn_ops && amb_cbor_list_length(then) > limits.txn_ops) return false;
     for (size_t i = 0; i < amb_cbor_list_length(then); i++) {
         char name[256];
-        const cbor_item_t *value = change_key(amb_cbor_list_item(then, i), name, sizeof name);
+        const struct amb_cbor_item *value = change_key(amb_cbor_list_item(then, i), name, sizeof name);
         if (value && (double)json_size(value) > limits.value_kb * 1024) return false;
     }
     return true;
 }
 
-static bool guards_hold(const cbor_item_t *guards) {
+static bool guards_hold(const struct amb_cbor_item *guards) {
     for (size_t i = 0; i < amb_cbor_list_length(guards); i++) {
         char name[256];
         uint64_t compared;
-        const cbor_item_t *guard = amb_cbor_list_item(guards, i);
+        const struct amb_cbor_item *guard = amb_cbor_list_item(guards, i);
         assert_true(amb_cbor_copy_string(amb_cbor_map_get(guard, "path"), name, sizeof name));
         assert_true(amb_cbor_get_uint(amb_cbor_map_get(guard, "stamp"), &compared));
         if (fake_store_revision(name) != compared) return false;
@@ -177,8 +180,8 @@
 }
 
 /* Applies the transaction and returns the status of its answer. */
-static int apply_txn(const cbor_item_t *txn) {
-    const cbor_item_t *then = amb_cbor_map_get(txn, "then");
+static int apply_txn(const struct amb_cbor_item *txn) {
+    const struct amb_cbor_item *then = amb_cbor_map_get(txn, "then");
     if (!is_within_limits(then)) return 400;
     if (limits.burst && changes_since_refill + amb_cbor_list_length(then) > limits.burst) return 429;
     changes_since_refill += (uint32_t)amb_cbor_list_length(then);
@@ -186,7 +189,7 @@
     revision++;
     for (size_t i = 0; i < amb_cbor_list_length(then); i++) {
         char name[256];
-        const cbor_item_t *value = change_key(amb_cbor_list_item(then, i), name, sizeof name);
+        const struct amb_cbor_item *value = change_key(amb_cbor_list_item(then, i), name, sizeof name);
         if (!value) {
             remove_key(name);
             continue;
@@ -213,12 +216,9 @@
         return;
     }
     struct amb_buf body = {0};
-    unsigned char *text = NULL;
-    size_t room = 0, len = cbor_serialize_alloc(key->value, &text, &room);
     amb_cbor_write_map(&body, 2);
     amb_cbor_write_string(&body, "stamp"), amb_cbor_write_uint(&body, key->revision);
-    amb_cbor_write_string(&body, "value"), amb_buf_append(&body, text, len);
-    free(text);
+    amb_cbor_write_string(&body, "value"), cbor_item_append(&body, key->value);
     answer_counts[200]++;
     fake_answer(call, 200, &body);
 }
@@ -232,7 +232,7 @@
         commit && (outcome == FAKE_APPLIED || outcome == FAKE_ANSWER_LOST) ? apply_txn(call->cbor_body) : 0;
     if (commit && outcome == FAKE_APPLIED_LATE) {
         assert_true(late_count < MAX_LATE);
-        late_txns[late_count++] = cbor_incref(call->cbor_body);
+        late_txns[late_count++] = cbor_item_copy(call->cbor_body);
     }
     if (outcome != FAKE_APPLIED)
         fake_answer(call, 0, NULL);
@@ -249,7 +249,7 @@
         int status = apply_txn(late_txns[i]);
         *refused += status == 409;
         *applied += status == 200;
-        cbor_decref(&late_txns[i]);
+        cbor_item_free(late_txns[i]);
     }
     late_count = 0;
 }
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -26,7 +26,7 @@
 /* Writes a key on behalf of another client; value NULL: removes it. Returns the new revision. */
 uint64_t fake_store_put(const char *name, const struct amb_buf *value);
 uint64_t fake_store_revision(const char *name); /* 0: no such key */
-const cbor_item_t *fake_store_value(const char *name);
+const struct amb_cbor_item *fake_store_value(const char *name);
 size_t fake_store_count(const char *prefix);
 const char *fake_store_key(const char *prefix, size_t index); /* in key order; NULL: no more */
 
--- a/tests/support/json_cbor.c
+++ b/tests/support/json_cbor.c
@@ -1,5 +1,7 @@
 #include "json_cbor.h"
 
+#include "cbor_items.h"
+
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -58,7 +60,7 @@
 }
 
 /* NOLINTNEXTLINE(misc-no-recursion): messages of tests have little nesting */
-json_t *json_from_cbor(const cbor_item_t *value) {
+static json_t *json_from_tree(const cbor_item_t *value) {
     if (cbor_isa_uint(value)) return json_integer((json_int_t)cbor_get_int(value));
     if (cbor_isa_negint(value)) return json_integer(-1 - (json_int_t)cbor_get_int(value));
     if (cbor_isa_string(value))
@@ -67,8 +69,8 @@
         json_t *map = json_object();
         for (size_t i = 0; i < cbor_map_size(value); i++) {
             const struct cbor_pair *pair = &cbor_map_handle(value)[i];
-            json_t *key = json_from_cbor(pair->key);
-            json_object_set_new(map, json_string_value(key), json_from_cbor(pair->value));
+            json_t *key = json_from_tree(pair->key);
+            json_object_set_new(map, json_string_value(key), json_from_tree(pair->value));
             json_decref(key);
         }
         return map;
@@ -76,9 +78,16 @@
     if (cbor_isa_array(value)) {
         json_t *list = json_array();
         for (size_t i = 0; i < cbor_array_size(value); i++)
-            json_array_append_new(list, json_from_cbor(cbor_array_handle(value)[i]));
+            json_array_append_new(list, json_from_tree(cbor_array_handle(value)[i]));
         return list;
     }
     if (!cbor_float_ctrl_is_ctrl(value)) return json_real(cbor_float_get_float(value));
     return cbor_is_bool(value) ? json_boolean(cbor_get_bool(value)) : json_null();
 }
+
+json_t *json_from_cbor(const struct amb_cbor_item *value) {
+    cbor_item_t *tree = cbor_tree_of(value);
+    json_t *json = json_from_tree(tree);
+    cbor_decref(&tree);
+    return json;
+}
--- a/tests/support/json_cbor.h
+++ b/tests/support/json_cbor.h
@@ -12,6 +12,6 @@
 struct amb_buf cbor_from_text(const char *format, ...) __attribute__((format(printf, 1, 2)));
 
 /* Converts CBOR to JSON. The caller releases the result. */
-json_t *json_from_cbor(const cbor_item_t *value);
+json_t *json_from_cbor(const struct amb_cbor_item *value);
 
 #endif
--- a/tests/support/leader_fixture.c
+++ b/tests/support/leader_fixture.c
@@ -34,9 +34,8 @@
     return count;
 }
 
-const cbor_item_t *latest_reply_body(void) {
-    static cbor_item_t *map;
-    if (map) cbor_decref(&map);
+const struct amb_cbor_item *latest_reply_body(void) {
+    static const struct amb_cbor_item *map;
     map =
         latest_reply()->body.len ? amb_cbor_parse(latest_reply()->body.data, latest_reply()->body.len) : NULL;
     return map;
@@ -221,8 +220,8 @@
     return request;
 }
 
-size_t count_commands_in(const cbor_item_t *body, const char *verb) {
-    const cbor_item_t *list = amb_cbor_map_get(body, "orders");
+size_t count_commands_in(const struct amb_cbor_item *body, const char *verb) {
+    const struct amb_cbor_item *list = amb_cbor_map_get(body, "orders");
     size_t count = 0;
     for (size_t i = 0; i < amb_cbor_list_length(list); i++)
         count += amb_cbor_equals(amb_cbor_map_get(amb_cbor_list_item(list, i), "verb"), verb);
--- a/tests/support/leader_fixture.h
+++ b/tests/support/leader_fixture.h
@@ -30,7 +30,7 @@
 /* The reply to the latest request; status 0: none yet. */
 struct fake_reply *latest_reply(void);
 /* Its body; valid until the next call. */
-const cbor_item_t *latest_reply_body(void);
+const struct amb_cbor_item *latest_reply_body(void);
 /* Number of requests that the node has replied to. */
 size_t count_replies(void);
 
@@ -68,7 +68,7 @@
 
 struct amb_http_req *send_heartbeat(struct sent_heartbeat heartbeat);
 /* Number of commands with this verb in a body, and in the latest reply. */
-size_t count_commands_in(const cbor_item_t *body, const char *verb);
+size_t count_commands_in(const struct amb_cbor_item *body, const char *verb);
 size_t count_replied_commands(const char *verb);
 /* The fencing token in the latest reply to an agent. */
 uint64_t replied_token(void);
--- a/tests/support/pipeline_fixture.c
+++ b/tests/support/pipeline_fixture.c
@@ -1,6 +1,7 @@
 #include "pipeline_fixture.h"
 
 #include "amberpin/api/user_api.h"
+#include "cbor_items.h"
 #include "check.h"
 #include "fake_clock.h"
 #include "fake_http.h"
@@ -85,7 +86,7 @@
 }
 
 static bool guards_hold(const struct fake_call *call) {
-    const cbor_item_t *guards = amb_cbor_map_get(call->cbor_body, "guards");
+    const struct amb_cbor_item *guards = amb_cbor_map_get(call->cbor_body, "guards");
     for (size_t i = 0; i < amb_cbor_list_length(guards); i++) {
         char key[128];
         uint64_t compared = 0;
@@ -101,19 +102,19 @@
 static void apply_txn(struct fake_call *call) {
     struct amb_buf buffer = {0};
     bool guards_ok = guards_hold(call);
-    const cbor_item_t *changes = amb_cbor_map_get(call->cbor_body, "then");
+    const struct amb_cbor_item *changes = amb_cbor_map_get(call->cbor_body, "then");
     fake_service.revision += guards_ok;
     for (size_t i = 0; guards_ok && i < amb_cbor_list_length(changes); i++) {
         char key[128];
-        const cbor_item_t *change = amb_cbor_list_item(changes, i);
+        const struct amb_cbor_item *change = amb_cbor_list_item(changes, i);
         if (!amb_cbor_copy_string(amb_cbor_map_get(change, "put"), key, sizeof key)) continue;
         struct job_value *record = record_of(key);
         if (!record) continue;
-        unsigned char bytes[VALUE_BYTES];
-        size_t len = cbor_serialize(amb_cbor_map_get(change, "value"), bytes, sizeof bytes);
-        assert_true(len > 0);
+        const struct amb_cbor_item *value = amb_cbor_map_get(change, "value");
+        assert_non_null(value);
+        assert_true(amb_cbor_encoded_len(value) <= VALUE_BYTES);
         amb_buf_free(&record->value);
-        amb_buf_append(&record->value, bytes, len);
+        cbor_item_append(&record->value, value);
         record->revision = fake_service.revision;
     }
     amb_cbor_write_map(&buffer, guards_ok ? 1 : 2);
@@ -232,10 +233,10 @@
 const char *latest_answer(void) {
     static char text[16];
     const struct fake_reply *reply = &replies[reply_count - 1];
-    cbor_item_t *body = reply->body.len ? amb_cbor_parse(reply->body.data, reply->body.len) : NULL;
+    const struct amb_cbor_item *body =
+        reply->body.len ? amb_cbor_parse(reply->body.data, reply->body.len) : NULL;
     char stance[16] = "";
     amb_cbor_copy_string(amb_cbor_map_get(body, "stance"), stance, sizeof stance);
-    if (body) cbor_decref(&body);
     snprintf(text, sizeof text, "%d%.1s", reply->status, stance);
     return text;
 }
--- a/tests/support/user_fixture.c
+++ b/tests/support/user_fixture.c
@@ -83,10 +83,10 @@
 
 void expect_reply(const char *what, int user, int status, const char *stance) {
     const struct fake_reply *reply = &replies[user];
-    cbor_item_t *body = reply->body.len ? amb_cbor_parse(reply->body.data, reply->body.len) : NULL;
+    const struct amb_cbor_item *body =
+        reply->body.len ? amb_cbor_parse(reply->body.data, reply->body.len) : NULL;
     bool matches =
         reply->status == status && (!stance || amb_cbor_equals(amb_cbor_map_get(body, "stance"), stance));
-    if (body) cbor_decref(&body);
     if (!matches)
         fail_msg("%s: reply %d instead of %d %s", what, reply->status, status, stance ? stance : "");
 }
@@ -127,9 +127,8 @@
 void apply_watched_change(uint64_t revision, const char *state) {
     struct amb_buf value =
         cbor_from_text("{\"s\":\"%s\",\"a\":1,\"c\":1,\"n\":16,\"d\":%s}", state, VALID_SUBMISSION);
-    cbor_item_t *item = amb_cbor_parse(value.data, value.len);
+    const struct amb_cbor_item *item = amb_cbor_parse(value.data, value.len);
     amb_jobs_apply_item(node, JOB_REF, item, revision);
-    cbor_decref(&item);
     amb_buf_free(&value);
 }
 
@@ -141,12 +140,11 @@
 
 uint64_t compared_revision(void) {
     struct fake_call *call = open_call(COMMIT_PATH);
-    cbor_item_t *body = amb_cbor_parse(call->body.data, call->body.len);
-    const cbor_item_t *guards = amb_cbor_map_get(body, "guards");
+    const struct amb_cbor_item *body = amb_cbor_parse(call->body.data, call->body.len);
+    const struct amb_cbor_item *guards = amb_cbor_map_get(body, "guards");
     uint64_t revision = UINT64_MAX;
     assert_int_equal(amb_cbor_list_length(guards), 1);
     assert_true(amb_cbor_equals(amb_cbor_map_get(amb_cbor_list_item(guards, 0), "path"), "a/job/" JOB_REF));
     assert_true(amb_cbor_get_uint(amb_cbor_map_get(amb_cbor_list_item(guards, 0), "stamp"), &revision));
-    cbor_decref(&body);
     return revision;
 }
--- a/tests/zone_recovery/test_zone_recovery.c
+++ b/tests/zone_recovery/test_zone_recovery.c
@@ -3,6 +3,7 @@
 #include "amberpin/placement/wdrr.h"
 #include "amberpin/scheduler/capacity_plan.h"
 #include "amberpin/scheduler/cycle.h"
+#include "cbor_items.h"
 #include "check.h"
 #include "fake_clock.h"
 #include "fake_http.h"
@@ -234,14 +235,14 @@
 /* ---- zone record ---- */
 
 /* Does the record hold this state of its first zone? */
-static bool record_has_state(const cbor_item_t *value, const char *state_name) {
+static bool record_has_state(const struct amb_cbor_item *value, const char *state_name) {
     return amb_cbor_equals(
         amb_cbor_map_get(amb_cbor_list_item(amb_cbor_map_get(value, "zones"), 0), "verdict"), state_name);
 }
 
 static struct fake_call *expect_write(const char *state_name, uint64_t revision) {
     struct fake_call *commit = open_call("POST", "/commit");
-    const cbor_item_t *value = fake_txn_put(commit, ZONES_KEY, NULL);
+    const struct amb_cbor_item *value = fake_txn_put(commit, ZONES_KEY, NULL);
     assert_non_null(value);
     assert_int_equal(fake_txn_compared_revision(commit, LEADER_KEY), TERM);
     assert_int_equal(fake_txn_compared_revision(commit, ZONES_KEY), revision);
@@ -274,7 +275,7 @@
     }
 }
 
-static cbor_item_t *record_value(uint64_t version) {
+static const struct amb_cbor_item *record_value(uint64_t version) {
     struct amb_buf buffer = {0};
     amb_cbor_write_map(&buffer, 3);
     amb_cbor_write_string(&buffer, "form"), amb_cbor_write_uint(&buffer, version);
@@ -289,7 +290,7 @@
         amb_cbor_write_string(&buffer, "class"), amb_cbor_write_string(&buffer, classes[i]);
         amb_cbor_write_string(&buffer, "priority"), amb_cbor_write_uint(&buffer, AMB_PRIORITY_HIGH + i);
     }
-    cbor_item_t *value = amb_cbor_parse(buffer.data, buffer.len);
+    const struct amb_cbor_item *value = cbor_item_copy(amb_cbor_parse(buffer.data, buffer.len));
     amb_buf_free(&buffer);
     return value;
 }
@@ -310,9 +311,9 @@
         fixture_reset();
         enable_recovery();
         node->options.zone_recovery = rows[i].enabled;
-        cbor_item_t *value = record_value(rows[i].version);
+        const struct amb_cbor_item *value = record_value(rows[i].version);
         amb_zone_record_load(node, rows[i].key, value, FIRST_REVISION);
-        cbor_decref(&value);
+        cbor_item_free(value);
         if ((health_state(ZONE_B) == AMB_ZONE_RETURNING) != rows[i].restored) fail_msg("%s", rows[i].what);
         assert_int_equal(node->zone_recovery.order.count, rows[i].restored ? 2 : 0);
         assert_int_equal(amb_zones_without_batch(node), rows[i].restored ? 1u << ZONE_B : 0);
