Bound what requests that arrive in part may hold

Users would have seen: callers that each send most of a body of 64 KiB and stop end a controller for its memory.

Cause: nothing counted the input of all connections together, only that of each (88 KiB).

Change: the input of all connections has a share of the quota, a sixteenth (of the port for peers an eighth, two messages at least). Beyond it the request that has been arriving for the longest time is answered 503 with Retry-After: 1 and its connection closed, so that slow callers take nothing from prompt ones. A body is valid until the handler returns; all handlers read it before. A read takes no more than a connection may hold. A loop that a timer stops ends at once, and may run again (found by the test).

The check of CBOR no longer counts what open lists claim: nothing is allocated for it, and a body that ends before they do is not well-formed.

--- a/bench/world.c
+++ b/bench/world.c
@@ -50,6 +50,7 @@
 /* The linker replaces the library's functions by these (--wrap). */
 struct amb_http_server *__wrap_amb_server_open(const char *addr, int max, size_t body_max, amb_ms idle_ms,
                                                amb_http_handler fn, void *arg);
+void __wrap_amb_server_set_max_input_bytes(struct amb_http_server *server, size_t bytes);
 void __wrap_amb_http_reply(struct amb_http_req *request, int status, const char *type, const void *body,
                            size_t len, int retry_after_s);
 struct amb_http_client_connection *__wrap_amb_http_call(const char *addr, const char *method,
@@ -64,6 +65,10 @@
     return (struct amb_http_server *)&last_server;
 }
 
+void __wrap_amb_server_set_max_input_bytes(struct amb_http_server *server, size_t bytes) {
+    (void)server, (void)bytes;
+}
+
 void __wrap_amb_http_reply(struct amb_http_req *request, int status, const char *type, const void *body,
                            size_t len, int retry_after_s) {
     (void)type, (void)body, (void)len, (void)retry_after_s;
--- a/include/amberpin/http/http.h
+++ b/include/amberpin/http/http.h
@@ -35,7 +35,9 @@
     struct amb_http_connection *connection; /* NULL once the connection is closed */
     char method[12];
     char path[512]; /* without the query */
-    char *body;     /* followed by a zero byte that body_len does not count; may contain zero bytes */
+    /* Followed by a zero byte that body_len does not count; may contain zero bytes. Valid until the handler
+       returns, so that a request whose reply is held back does not keep it. */
+    char *body;
     size_t body_len;
     amb_ms arrived_at; /* when it was read; set only while debug logging is enabled */
     bool deferred;     /* its reply was held back until there was something to send */
@@ -49,6 +51,10 @@
  * with errno set, if it cannot listen. The server exists until the process ends. */
 struct amb_http_server *amb_server_open(const char *addr, int max_connections, size_t max_body_bytes,
                                         amb_ms idle_ms, amb_http_handler handler, void *arg);
+/* Sets the limit of the memory that all requests hold that have arrived in part, in bytes; at least twice
+ * max_body_bytes. Beyond it, the request that has been arriving for the longest time is answered with 503 and
+ * Retry-After. Without this call there is no limit. */
+void amb_server_set_max_input_bytes(struct amb_http_server *server, size_t bytes);
 /* Replies with len bytes of body of Content-Type `type`, and frees the request. retry_after_s is the
  * Retry-After header; 0 omits it. */
 void amb_http_reply(struct amb_http_req *request, int status, const char *type, const void *body, size_t len,
--- a/include/amberpin/node/memory_budget.h
+++ b/include/amberpin/node/memory_budget.h
@@ -20,6 +20,10 @@
 /* The largest response that a node reads, in bytes: whole pages of the state service, or an eighth of the
  * quota if that is more. */
 size_t amb_memory_max_response_bytes(const struct amb_settings *settings);
+/* Bytes for requests of users and agents that have arrived in part. */
+size_t amb_memory_max_request_input_bytes(const struct amb_settings *settings);
+/* Bytes for messages of peers that have arrived in part, of which each may have max_message_bytes. */
+size_t amb_memory_max_peer_input_bytes(const struct amb_settings *settings, size_t max_message_bytes);
 /* The largest message of a peer, in bytes, that is kept to recognise its repetition. */
 size_t amb_memory_max_peer_message_bytes(const struct amb_settings *settings);
 /* Bytes for the names of removed machines, of which the latest are kept. */
--- a/lib/base/loop.c
+++ b/lib/base/loop.c
@@ -24,6 +24,7 @@
 static int ready_count;
 
 void amb_loop_init(void) {
+    stopping = false;
     if (epoll_fd < 0) epoll_fd = epoll_create1(EPOLL_CLOEXEC);
     if (epoll_fd < 0) {
         amb_error("event loop not started: epoll_create1: %s", strerror(errno));
@@ -113,6 +114,7 @@
 }
 
 static int ms_until_next_timer(void) {
+    if (stopping) return 0; /* a timer has stopped the loop */
     amb_ms wait = timer_count ? heap[1]->at - amb_now() : IDLE_WAIT_MS;
     if (wait < 0) return 0;
     return (int)(wait > MAX_WAIT_MS ? MAX_WAIT_MS : wait);
--- a/lib/codec/cbor_check.c
+++ b/lib/codec/cbor_check.c
@@ -92,7 +92,6 @@
 
 struct check {
     size_t bytes_left;
-    size_t items_owed; /* that all counted levels together still lack; each takes a byte at least */
     bool is_complete;
     size_t depth;
     struct level levels[CBOR_MAX_STACK_SIZE];
@@ -142,15 +141,12 @@
         end_item(check);
         return true;
     }
-    if (token->items > check->bytes_left) return false;
-    check->items_owed += token->items;
     return open_level(check, token);
 }
 
 static bool begin_item(struct check *check, const struct token *token) {
     const struct level *level = innermost(check);
     if (level && !may_stand_in(level, token->kind)) return false;
-    if (level && level->kind == TOKEN_COUNTED) check->items_owed--;
     switch (token->kind) {
     case TOKEN_BAD_TEXT: return false;
     case TOKEN_COUNTED: return begin_counted_level(check, token);
@@ -163,8 +159,7 @@
 }
 
 static bool take_token(struct check *check, const struct token *token) {
-    bool is_taken = token->kind == TOKEN_BREAK ? end_open_level(check) : begin_item(check, token);
-    return is_taken && check->items_owed <= check->bytes_left;
+    return token->kind == TOKEN_BREAK ? end_open_level(check) : begin_item(check, token);
 }
 
 bool amb_cbor_is_well_formed(const void *data, size_t len) {
@@ -172,7 +167,7 @@
     const unsigned char *bytes = data;
     struct check check;
     check.bytes_left = len;
-    check.items_owed = check.depth = 0;
+    check.depth = 0;
     check.is_complete = false;
     while (check.bytes_left && !check.is_complete) {
         struct token token = {TOKEN_SCALAR, 0};
--- a/lib/controller/start.c
+++ b/lib/controller/start.c
@@ -48,7 +48,9 @@
     node->public_server =
         amb_server_open(settings->api_listen, amb_capacity_max_incoming_connections(settings),
                         REQUEST_BODY_MAX_BYTES, idle_timeout, handle_request, node);
-    return node->public_server != NULL;
+    if (!node->public_server) return false;
+    amb_server_set_max_input_bytes(node->public_server, amb_memory_max_request_input_bytes(settings));
+    return true;
 }
 
 int amb_node_start(struct amb_node *node, char *err, size_t err_size) {
--- a/lib/http/client.c
+++ b/lib/http/client.c
@@ -126,7 +126,7 @@
 }
 
 static void client_read(struct amb_http_client_connection *client) {
-    bool is_open = amb_http_stream_read(&client->stream) == AMB_HTTP_STREAM_OPEN;
+    bool is_open = amb_http_stream_read(&client->stream, max_response_bytes) == AMB_HTTP_STREAM_OPEN;
     const struct amb_buf *input = &client->stream.input;
     if (client->state == CLIENT_IDLE) { /* the server closed it, or sent unsolicited data */
         client_fail(client);
--- a/lib/http/connection.c
+++ b/lib/http/connection.c
@@ -2,6 +2,7 @@
 
 #include "amberpin/base/log.h"
 #include "amberpin/http/parser.h"
+#include "input_limit.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -44,6 +45,7 @@
 void amb_http_connection_close(struct amb_http_connection *connection) {
     amb_timer_stop(&connection->idle_timer);
     amb_http_stream_close(&connection->stream);
+    amb_http_input_count(connection);
     list_remove(connection);
     connection->server->connection_count--;
     if (connection->request) connection->request->connection = NULL;
@@ -95,9 +97,15 @@
 
 /* ---- requests ---- */
 
-static void refuse_request(struct amb_http_connection *connection, int status) {
+static void discard_input(struct amb_http_connection *connection) {
+    amb_buf_free(&connection->stream.input);
+    amb_http_input_count(connection);
+}
+
+void amb_http_connection_refuse(struct amb_http_connection *connection, int status, int retry_after_s) {
     connection->close_after_response = true;
-    queue_response(connection, status, "text/plain", NULL, 0, 0);
+    discard_input(connection);
+    queue_response(connection, status, "text/plain", NULL, 0, retry_after_s);
     set_state(connection, AMB_HTTP_CONNECTION_CLOSING);
     flush(connection);
 }
@@ -126,38 +134,58 @@
     long taken = amb_http_parse(input->data, input->len, false, server->max_body_bytes, &message);
     if (!taken) return;
     if (taken < 0) {
-        refuse_request(connection, (int)-taken);
+        amb_http_connection_refuse(connection, (int)-taken, 0);
         return;
     }
     connection->request = request_new(connection, &message);
     connection->close_after_response = message.closes;
     amb_buf_drop_front(input, (size_t)taken);
     if (!input->len) amb_buf_free(input); /* hundreds of idle connections must not keep buffers */
+    connection->input_since = 0;
+    amb_http_input_count(connection);
     set_state(connection, AMB_HTTP_CONNECTION_ANSWERING);
+    char *body = connection->request->body;
     server->handler(server->handler_arg, connection->request);
+    free(body);
 }
 
-/* Clients do not pipeline requests, so more buffered input than one request can have is abuse. */
-static bool has_too_much_input(const struct amb_http_connection *connection) {
-    size_t request_max = connection->server->max_body_bytes + AMB_HTTP_HEAD_MAX;
-    return connection->stream.input.len > request_max + AMB_HTTP_READ_BYTES;
+/* The most input of a connection. Clients do not pipeline requests, so more than one request can have is
+ * abuse. */
+static size_t max_input(const struct amb_http_connection *connection) {
+    return connection->server->max_body_bytes + AMB_HTTP_HEAD_MAX + AMB_HTTP_READ_BYTES;
 }
 
-static void on_event(struct amb_fd_watch *watch, uint32_t events) {
-    struct amb_http_connection *connection = watch->arg;
-    bool is_open = !(events & EPOLLERR);
-    if (is_open && (events & (EPOLLIN | EPOLLHUP)))
-        is_open = amb_http_stream_read(&connection->stream) == AMB_HTTP_STREAM_OPEN;
-    if (!is_open || has_too_much_input(connection)) {
+/* Returns whether the connection is still usable. */
+static bool read_input(struct amb_http_connection *connection) {
+    struct amb_http_stream *stream = &connection->stream;
+    bool is_open = amb_http_stream_read(stream, max_input(connection)) == AMB_HTTP_STREAM_OPEN;
+    bool is_too_much = stream->input.len > max_input(connection);
+    if (connection->state == AMB_HTTP_CONNECTION_CLOSING)
+        discard_input(connection);
+    else
+        amb_http_input_count(connection);
+    return is_open && !is_too_much;
+}
+
+/* May close the connection. */
+static void handle_event(struct amb_http_connection *connection, uint32_t events) {
+    bool is_usable = !(events & EPOLLERR);
+    if (is_usable && (events & (EPOLLIN | EPOLLHUP))) is_usable = read_input(connection);
+    if (!is_usable)
         amb_http_connection_close(connection);
-        return;
-    }
-    if (events & EPOLLOUT)
-        flush(connection); /* which may free the connection */
+    else if (events & EPOLLOUT)
+        flush(connection);
     else
         read_request(connection);
 }
 
+static void on_event(struct amb_fd_watch *watch, uint32_t events) {
+    struct amb_http_connection *connection = watch->arg;
+    struct amb_http_server *server = connection->server;
+    handle_event(connection, events);
+    amb_http_input_enforce_limit(server);
+}
+
 void amb_http_connection_open(struct amb_http_server *server, int fd) {
     struct amb_http_connection *connection = amb_alloc(sizeof *connection);
     connection->stream.watch = (struct amb_fd_watch){fd, on_event, connection, 0};
@@ -183,7 +211,6 @@
                     int retry_after_s) {
     struct amb_http_connection *connection = request->connection;
     if (amb_log_is_enabled(AMB_LOG_DEBUG)) log_response(request, status);
-    free(request->body);
     free(request);
     if (!connection) return;
     connection->request = NULL;
--- a/lib/http/connection.h
+++ b/lib/http/connection.h
@@ -16,6 +16,8 @@
     struct amb_http_server *server;
     enum amb_http_connection_state state;
     struct amb_http_req *request; /* the one that the handler has; NULL: none */
+    size_t input_bytes;           /* as counted in the server's */
+    amb_ms input_since; /* when the first byte of the request that arrives was read; 0: none arrives */
     struct amb_timer idle_timer;
     bool close_after_response;
     struct amb_http_connection *prev, *next; /* in the server's list */
@@ -26,6 +28,8 @@
     int max_connections, connection_count;
     size_t max_body_bytes;
     amb_ms idle_ms;
+    size_t max_input_bytes; /* limit of input_bytes */
+    size_t input_bytes;     /* that connections have allocated for requests that have arrived in part */
     amb_http_handler handler;
     void *handler_arg;
     /* Connections, ordered by the time of their last change of state. */
@@ -37,5 +41,8 @@
 /* Closes and frees the connection. A request that the handler still has stays valid; its reply is
  * discarded. */
 void amb_http_connection_close(struct amb_http_connection *connection);
+/* Replies to the request that is being read, which is discarded, and closes the connection. retry_after_s: 0
+ * omits the header. */
+void amb_http_connection_refuse(struct amb_http_connection *connection, int status, int retry_after_s);
 
 #endif
--- a/lib/http/server.c
+++ b/lib/http/server.c
@@ -54,9 +54,14 @@
     server->listener = (struct amb_fd_watch){fd, on_listener_event, server, 0};
     server->max_connections = max_connections;
     server->max_body_bytes = max_body_bytes;
+    server->max_input_bytes = SIZE_MAX;
     server->idle_ms = idle_ms;
     server->handler = handler;
     server->handler_arg = arg;
     amb_loop_add(&server->listener, EPOLLIN);
     return server;
 }
+
+void amb_server_set_max_input_bytes(struct amb_http_server *server, size_t bytes) {
+    server->max_input_bytes = bytes;
+}
--- a/lib/http/stream.c
+++ b/lib/http/stream.c
@@ -37,12 +37,12 @@
     return errno == EAGAIN || errno == EINTR;
 }
 
-enum amb_http_stream_state amb_http_stream_read(struct amb_http_stream *stream) {
+enum amb_http_stream_state amb_http_stream_read(struct amb_http_stream *stream, size_t max_bytes) {
     static char chunk[AMB_HTTP_READ_BYTES];
     for (;;) {
         ssize_t received = read(stream->watch.fd, chunk, sizeof chunk);
         if (received > 0) amb_buf_append(&stream->input, chunk, (size_t)received);
-        if (received == (ssize_t)sizeof chunk) continue;
+        if (received == (ssize_t)sizeof chunk && stream->input.len <= max_bytes) continue;
         if (received > 0) return AMB_HTTP_STREAM_OPEN;
         return received < 0 && may_try_again() ? AMB_HTTP_STREAM_OPEN : AMB_HTTP_STREAM_ENDED;
     }
--- a/lib/http/stream.h
+++ b/lib/http/stream.h
@@ -21,8 +21,8 @@
 /* Opens a socket with TCP_NODELAY. Returns -1, with errno set, on failure. */
 int amb_http_open_socket(void);
 
-/* Appends everything that can be read now to the input. */
-enum amb_http_stream_state amb_http_stream_read(struct amb_http_stream *stream);
+/* Appends what can be read now to the input, until it is longer than max_bytes. */
+enum amb_http_stream_state amb_http_stream_read(struct amb_http_stream *stream, size_t max_bytes);
 /* Writes as much of the output as the socket accepts now. */
 enum amb_http_stream_state amb_http_stream_write(struct amb_http_stream *stream);
 /* Closes the socket if there is one, and frees the buffers. */
--- a/lib/peer/peers.c
+++ b/lib/peer/peers.c
@@ -2,6 +2,7 @@
 #include "amberpin/base/log.h"
 #include "amberpin/duty/duty_status.h"
 #include "amberpin/job/cancellation_notice.h"
+#include "amberpin/node/memory_budget.h"
 #include "amberpin/node/node.h"
 #include "heartbeat_received.h"
 #include "received_cache.h"
@@ -10,6 +11,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Connections that the server for peers and operators accepts. */
+enum { CONNECTIONS_PER_PEER = 4, OTHER_CONNECTIONS = 8 };
+
 /* ---- heartbeats to peers ---- */
 
 static void handle_reply(void *arg, int status, const char *body, size_t len) {
@@ -125,12 +129,14 @@
         strcpy(peer->addr, node->settings.peers[i].addr);
         peer->node = node;
     }
-    node->peer_server =
-        amb_server_open(node->settings.peer_listen, 4 * (int)node->peers.count + 8, AMB_HEARTBEAT_MAX_BYTES,
-                        (amb_ms)(node->settings.agent_lease_s * 1000), handle_request, node);
+    node->peer_server = amb_server_open(
+        node->settings.peer_listen, CONNECTIONS_PER_PEER * (int)node->peers.count + OTHER_CONNECTIONS,
+        AMB_HEARTBEAT_MAX_BYTES, (amb_ms)(node->settings.agent_lease_s * 1000), handle_request, node);
     if (!node->peer_server) {
         amb_error("cluster_listen %s: cannot open the listening socket", node->settings.peer_listen);
         return;
     }
+    amb_server_set_max_input_bytes(node->peer_server,
+                                   amb_memory_max_peer_input_bytes(&node->settings, AMB_HEARTBEAT_MAX_BYTES));
     send_heartbeats(node);
 }
--- a/tests/support/fake_http.c
+++ b/tests/support/fake_http.c
@@ -53,6 +53,10 @@
     return server;
 }
 
+void amb_server_set_max_input_bytes(struct amb_http_server *server, size_t bytes) {
+    (void)server, (void)bytes;
+}
+
 void fake_serve(const char *addr, struct amb_http_req *request) {
     struct amb_http_server *server = servers;
     while (server < servers + server_count && strcmp(server->addr, addr) != 0) server++;
