Bound the values of a peer's message while it is read

Cause: as for CBOR, the text is bounded and its tree is not; jansson's takes up to 80 times as much.

Change: amb_json_parse gives jansson a bound of memory while it parses: a quarter of the quota for a message of a peer, 16 KiB for an operator's request. The largest heartbeat that a fleet of 4,000 machines makes is read within it (test_fleet_limits).

--- a/include/amberpin/codec/peer_messages.h
+++ b/include/amberpin/codec/peer_messages.h
@@ -18,6 +18,7 @@
 enum amb_peer_message_fault {
     AMB_PEER_MESSAGE_OK,
     AMB_PEER_MESSAGE_NOT_JSON,
+    AMB_PEER_MESSAGE_TOO_LARGE, /* its values take more memory than allowed */
     AMB_PEER_MESSAGE_FIELD_MISSING,
     AMB_PEER_MESSAGE_FIELD_TYPE,
     AMB_PEER_MESSAGE_FIELD_RANGE,
@@ -77,9 +78,9 @@
 
 /* ---- ownership of messages ---- */
 
-/* Parses a message, which the caller must release (amb_peer_message_release). On an error *message is
- * NULL. */
-struct amb_peer_message_error amb_peer_message_parse(const char *text, size_t len,
+/* Parses a message, which the caller must release (amb_peer_message_release) and whose values may take
+ * max_bytes of memory. On an error *message is NULL. */
+struct amb_peer_message_error amb_peer_message_parse(const char *text, size_t len, size_t max_bytes,
                                                      struct amb_peer_message **message);
 /* Creates a message with this status and an empty list of cancellations, which the caller must release. */
 struct amb_peer_message *amb_peer_message_new(const char *sender, const struct amb_peer_status *status);
--- a/include/amberpin/node/memory_budget.h
+++ b/include/amberpin/node/memory_budget.h
@@ -24,6 +24,8 @@
 size_t amb_memory_max_request_input_bytes(const struct amb_settings *settings);
 /* Bytes for messages of peers that have arrived in part, of which each may have max_message_bytes. */
 size_t amb_memory_max_peer_input_bytes(const struct amb_settings *settings, size_t max_message_bytes);
+/* Bytes for the values of a peer's message while it is read. */
+size_t amb_memory_max_peer_values_bytes(const struct amb_settings *settings);
 /* The largest message of a peer, in bytes, that is kept to recognise its repetition. */
 size_t amb_memory_max_peer_message_bytes(const struct amb_settings *settings);
 /* Bytes for the names of removed machines, of which the latest are kept. */
--- a/lib/codec/peer_messages.c
+++ b/lib/codec/peer_messages.c
@@ -1,6 +1,8 @@
 /* Encodes and decodes messages between controllers. */
 #include "amberpin/codec/peer_messages.h"
 
+#include "amberpin/codec/json_parse.h"
+
 #include <jansson.h>
 #include <string.h>
 
@@ -49,6 +51,7 @@
     switch (fault) {
     case AMB_PEER_MESSAGE_OK: return "ok";
     case AMB_PEER_MESSAGE_NOT_JSON: return "not JSON";
+    case AMB_PEER_MESSAGE_TOO_LARGE: return "of more values than memory allows";
     case AMB_PEER_MESSAGE_FIELD_MISSING: return "missing";
     case AMB_PEER_MESSAGE_FIELD_TYPE: return "of the wrong type";
     case AMB_PEER_MESSAGE_FIELD_RANGE: return "out of range";
@@ -58,10 +61,12 @@
 
 /* ---- ownership of messages ---- */
 
-struct amb_peer_message_error amb_peer_message_parse(const char *text, size_t len,
+struct amb_peer_message_error amb_peer_message_parse(const char *text, size_t len, size_t max_bytes,
                                                      struct amb_peer_message **message) {
-    *message = from_json(json_loadb(text, len, 0, NULL));
-    return make_error(*message ? AMB_PEER_MESSAGE_OK : AMB_PEER_MESSAGE_NOT_JSON, NULL);
+    bool is_too_large;
+    *message = from_json(amb_json_parse(text, len, max_bytes, &is_too_large));
+    if (*message) return make_error(AMB_PEER_MESSAGE_OK, NULL);
+    return make_error(is_too_large ? AMB_PEER_MESSAGE_TOO_LARGE : AMB_PEER_MESSAGE_NOT_JSON, NULL);
 }
 
 struct amb_peer_message *amb_peer_message_new(const char *sender, const struct amb_peer_status *status) {
--- a/lib/duty/status.c
+++ b/lib/duty/status.c
@@ -1,6 +1,7 @@
 #include "amberpin/duty/duty_status.h"
 
 #include "amberpin/base/log.h"
+#include "amberpin/codec/json_parse.h"
 #include "amberpin/duty/scaling_path.h"
 #include "amberpin/http/http.h"
 #include "amberpin/node/node.h"
@@ -106,6 +107,8 @@
 
 /* ---- handover requests ---- */
 
+enum { HANDOVER_MAX_BYTES = 16 * 1024 }; /* of the values of a request, which has two texts */
+
 static void answer_error(struct amb_http_req *request, int status, const char *message) {
     json_t *error_body = json_pack("{s:s}", "error", message);
     char *text = json_dumps(error_body, JSON_COMPACT);
@@ -126,7 +129,8 @@
 static void request_handover(struct amb_node *node, struct amb_http_req *request) {
     enum amb_duty_name duty;
     struct amb_duty_handover handover = {{0}};
-    json_t *body = json_loadb(request->body, request->body_len, 0, NULL);
+    bool is_too_large;
+    json_t *body = amb_json_parse(request->body, request->body_len, HANDOVER_MAX_BYTES, &is_too_large);
     const char *name = json_string_value(json_object_get(body, "duty"));
     const char *to = json_string_value(json_object_get(body, "to"));
     bool is_valid = name && amb_duty_name_parse(name, &duty) && (!to || strlen(to) < AMB_NAME_SIZE);
--- a/lib/node/memory_budget.c
+++ b/lib/node/memory_budget.c
@@ -11,6 +11,7 @@
 static const double RESPONSE_SHARE = 1.0 / 8;
 static const double REQUEST_INPUT_SHARE = 1.0 / 16;
 static const double PEER_INPUT_SHARE = 1.0 / 8;
+static const double PEER_VALUES_SHARE = 1.0 / 4;
 static const double PEER_MESSAGE_SHARE = 1.0 / 256; /* all cached messages of peers */
 
 enum { ALLOCATION_OVERHEAD = 16, HASH_BUCKET = 16 }; /* bytes per allocation; per entry of a hash table */
@@ -73,6 +74,10 @@
     return share > least ? share : least;
 }
 
+size_t amb_memory_max_peer_values_bytes(const struct amb_settings *settings) {
+    return share_of(settings, PEER_VALUES_SHARE);
+}
+
 size_t amb_memory_max_peer_message_bytes(const struct amb_settings *settings) {
     size_t peers = settings->peer_count ? settings->peer_count : 1;
     return share_of(settings, PEER_MESSAGE_SHARE) / (peers * (size_t)MESSAGES_PER_PEER);
--- a/lib/peer/peers.c
+++ b/lib/peer/peers.c
@@ -68,7 +68,8 @@
     struct amb_peer_message *notice;
     struct amb_peer_cancellation cancellation;
     if (!is_post(request)) return false;
-    if (amb_peer_message_parse(request->body, request->body_len, &notice).fault) return false;
+    size_t max_bytes = amb_memory_max_peer_values_bytes(&node->settings);
+    if (amb_peer_message_parse(request->body, request->body_len, max_bytes, &notice).fault) return false;
     bool is_valid = !amb_peer_message_notice(notice, &cancellation).fault;
     if (is_valid) amb_cancellation_notice_receive(node, &cancellation);
     amb_peer_message_release(notice);
--- a/lib/peer/received_cache.c
+++ b/lib/peer/received_cache.c
@@ -42,7 +42,8 @@
         *reply = amb_peer_message_retain(peer->last_reply.message);
         return NO_ERROR;
     }
-    struct amb_peer_message_error error = amb_peer_message_parse(text, len, reply);
+    struct amb_peer_message_error error =
+        amb_peer_message_parse(text, len, amb_memory_max_peer_values_bytes(&peer->node->settings), reply);
     if (!error.fault) cache_message(peer->node, &peer->last_reply, text, len, *reply);
     return error;
 }
@@ -69,7 +70,8 @@
         *heartbeat = amb_peer_message_retain(peer->last_heartbeat.message);
         return NO_ERROR;
     }
-    struct amb_peer_message_error error = amb_peer_message_parse(text, len, heartbeat);
+    struct amb_peer_message_error error =
+        amb_peer_message_parse(text, len, amb_memory_max_peer_values_bytes(&node->settings), heartbeat);
     if (!error.fault) error = cache_heartbeat(node, text, len, *heartbeat);
     if (error.fault) {
         amb_peer_message_release(*heartbeat);
--- a/tests/codec/test_body_memory.c
+++ b/tests/codec/test_body_memory.c
@@ -7,6 +7,7 @@
 #include "amberpin/base/util.h"
 #include "amberpin/codec/cbor_check.h"
 #include "amberpin/codec/messages.h"
+#include "amberpin/codec/peer_messages.h"
 #include "amberpin/codec/user_messages.h"
 
 #include <math.h>
@@ -205,6 +206,48 @@
     amb_codec_free_heartbeat(&heartbeat);
 }
 
+/* ---- messages of peers ---- */
+
+/* Messages of peers, of 1 MiB at most, became trees of up to 80 MB. A quarter of the quota is for one while
+ * it is read. */
+static void messages_of_many_values_take_a_share(void **state) {
+    (void)state;
+    enum {
+        MESSAGE_MAX_BYTES = 1024 * 1024,
+        SMALLEST_DEPLOYMENT_BYTES = 27 * 1024 * 1024,
+        SHARE = SMALLEST_DEPLOYMENT_BYTES / 4
+    };
+    static const struct {
+        const char *what;
+        struct bytes start, unit, end;
+        enum amb_peer_message_fault fault;
+    } rows[] = {
+        {"objects", BYTES("["), BYTES("{},"), BYTES("{}]"), AMB_PEER_MESSAGE_TOO_LARGE},
+        {"arrays", BYTES("["), BYTES("[],"), BYTES("[]]"), AMB_PEER_MESSAGE_TOO_LARGE},
+        {"empty texts", BYTES("["), BYTES("\"\","), BYTES("0]"), AMB_PEER_MESSAGE_TOO_LARGE},
+        {"integers", BYTES("["), BYTES("1,"), BYTES("0]"), AMB_PEER_MESSAGE_TOO_LARGE},
+        {"arrays in arrays", BYTES(""), BYTES("["), BYTES(""), AMB_PEER_MESSAGE_NOT_JSON},
+        {"a long text", BYTES("[\""), BYTES("a"), BYTES("\"]"), AMB_PEER_MESSAGE_OK},
+    };
+    char *text = malloc(MESSAGE_MAX_BYTES);
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        struct amb_peer_message *message;
+        size_t len = rows[i].start.len;
+        memcpy(text, rows[i].start.data, len);
+        for (; len + rows[i].unit.len + rows[i].end.len <= MESSAGE_MAX_BYTES; len += rows[i].unit.len)
+            memcpy(text + len, rows[i].unit.data, rows[i].unit.len);
+        memcpy(text + len, rows[i].end.data, rows[i].end.len);
+        len += rows[i].end.len;
+        heap_peak_begin();
+        enum amb_peer_message_fault fault = amb_peer_message_parse(text, len, SHARE, &message).fault;
+        size_t taken = heap_peak_end();
+        amb_peer_message_release(message);
+        if (fault != rows[i].fault) fail_msg("%s: %s", rows[i].what, amb_peer_message_fault_name(fault));
+        if (taken > SHARE) fail_msg("%s: %zu bytes, %d are allowed", rows[i].what, taken, SHARE);
+    }
+    free(text);
+}
+
 /* ---- what is read ---- */
 
 /* Compares what the getters say of an item with libcbor's tree of it. */
@@ -335,6 +378,7 @@
         cmocka_unit_test(nested_claims_take_no_memory),
         cmocka_unit_test(bodies_of_many_items_take_no_memory),
         cmocka_unit_test(valid_bodies_of_these_forms_are_read),
+        cmocka_unit_test(messages_of_many_values_take_a_share),
         cmocka_unit_test(bodies_are_read_as_by_the_library),
         cmocka_unit_test(texts_are_utf8_as_the_library_reads),
         cmocka_unit_test(nesting_is_limited),
--- a/tests/codec/test_peer_messages.c
+++ b/tests/codec/test_peer_messages.c
@@ -6,7 +6,8 @@
 
 static struct amb_peer_message *parse(const char *text) {
     struct amb_peer_message *message;
-    assert_int_equal(amb_peer_message_parse(text, strlen(text), &message).fault, AMB_PEER_MESSAGE_OK);
+    assert_int_equal(amb_peer_message_parse(text, strlen(text), SIZE_MAX, &message).fault,
+                     AMB_PEER_MESSAGE_OK);
     return message;
 }
 
@@ -74,7 +75,7 @@
     static const char *const rows[] = {"", "{", "{\"from\":\"n1\"", "no"};
     for (size_t i = 0; i < ROWS(rows); i++) {
         struct amb_peer_message *message;
-        expect_error(rows[i], amb_peer_message_parse(rows[i], strlen(rows[i]), &message),
+        expect_error(rows[i], amb_peer_message_parse(rows[i], strlen(rows[i]), SIZE_MAX, &message),
                      AMB_PEER_MESSAGE_NOT_JSON, NULL);
         assert_null(message);
     }
--- a/tests/http/test_http_input.c
+++ b/tests/http/test_http_input.c
@@ -26,6 +26,10 @@
     WATCHDOG_MS = 60000,
     ANSWER_TIMEOUT_S = 10,
     PROMPT_PAUSE_US = 20000,
+    /* Below the ports that the kernel chooses, some of which other tests have reserved for their controllers.
+     */
+    FIRST_PORT = 21000,
+    PORTS = 5000,
 };
 
 /* The smallest deployment. */
@@ -116,9 +120,9 @@
 
 static void open_server(int max_connections) {
     struct amb_http_server *server = NULL;
-    for (int port = 21000 + getpid() % 20000; !server; port++) {
+    for (int port = FIRST_PORT + getpid() % PORTS; !server; port++) {
         char text[32];
-        assert_true(port < 65536);
+        assert_true(port < FIRST_PORT + 2 * PORTS);
         snprintf(text, sizeof text, "127.0.0.1:%d", port);
         server = amb_server_open(text, max_connections, BODY_BYTES, IDLE_MS, serve, NULL);
         server_address = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
--- a/tests/node/test_fleet_limits.c
+++ b/tests/node/test_fleet_limits.c
@@ -3,6 +3,7 @@
 #include "amberpin/agent/machine_loss.h"
 #include "amberpin/fleet/agent_commands.h"
 #include "amberpin/node/fleet_capacity.h"
+#include "amberpin/node/memory_budget.h"
 #include "check.h"
 #include "fake_clock.h"
 #include "fake_http.h"
@@ -38,7 +39,9 @@
     char *text = amb_peer_encode_heartbeat(node);
     size_t len = strlen(text);
     struct amb_peer_message *heartbeat;
-    assert_false(amb_peer_message_parse(text, len, &heartbeat).fault);
+    assert_false(
+        amb_peer_message_parse(text, len, amb_memory_max_peer_values_bytes(&node->settings), &heartbeat)
+            .fault);
     amb_peer_mark_heartbeat_sent(node);
     amb_image_locations_apply(node, heartbeat);
     amb_peer_message_release(heartbeat);
--- a/tests/support/peer_json.h
+++ b/tests/support/peer_json.h
@@ -23,7 +23,7 @@
 static inline struct amb_peer_message *peer_message_of_json(const json_t *json) {
     struct amb_peer_message *message;
     char *text = json_dumps(json, JSON_COMPACT);
-    amb_peer_message_parse(text, strlen(text), &message);
+    amb_peer_message_parse(text, strlen(text), SIZE_MAX, &message);
     free(text);
     return message;
 }
