--- a/lib/http/connection.c
+++ b/lib/http/connection.c
@@ -8,6 +8,8 @@
 #include <string.h>
 #include <sys/epoll.h>
 
+enum { INPUT_RETRY_AFTER_S = 1 };
+
 static const char *reason_phrase(int status) {
     switch (status) {
     case AMB_HTTP_OK: return "OK";
@@ -102,7 +104,7 @@
     amb_http_input_count(connection);
 }
 
-void amb_http_connection_refuse(struct amb_http_connection *connection, int status, int retry_after_s) {
+static void refuse_request(struct amb_http_connection *connection, int status, int retry_after_s) {
     connection->close_after_response = true;
     discard_input(connection);
     queue_response(connection, status, "text/plain", NULL, 0, retry_after_s);
@@ -134,7 +136,7 @@
     long taken = amb_http_parse(input->data, input->len, false, server->max_body_bytes, &message);
     if (!taken) return;
     if (taken < 0) {
-        amb_http_connection_refuse(connection, (int)-taken, 0);
+        refuse_request(connection, (int)-taken, 0);
         return;
     }
     connection->request = request_new(connection, &message);
@@ -179,11 +181,23 @@
         read_request(connection);
 }
 
+/* Refuses requests that arrive in part until the rest is within the server's limit. May close any connection.
+ */
+static void enforce_input_limit(struct amb_http_server *server) {
+    struct amb_http_connection *slowest;
+    while ((slowest = amb_http_input_over_limit(server)) != NULL) {
+        if (slowest->state == AMB_HTTP_CONNECTION_READING)
+            refuse_request(slowest, AMB_HTTP_SERVICE_UNAVAILABLE, INPUT_RETRY_AFTER_S);
+        else /* sends more while a request of its is answered */
+            amb_http_connection_close(slowest);
+    }
+}
+
 static void on_event(struct amb_fd_watch *watch, uint32_t events) {
     struct amb_http_connection *connection = watch->arg;
     struct amb_http_server *server = connection->server;
     handle_event(connection, events);
-    amb_http_input_enforce_limit(server);
+    enforce_input_limit(server);
 }
 
 void amb_http_connection_open(struct amb_http_server *server, int fd) {
--- a/lib/http/connection.h
+++ b/lib/http/connection.h
@@ -41,8 +41,5 @@
 /* Closes and frees the connection. A request that the handler still has stays valid; its reply is
  * discarded. */
 void amb_http_connection_close(struct amb_http_connection *connection);
-/* Replies to the request that is being read, which is discarded, and closes the connection. retry_after_s: 0
- * omits the header. */
-void amb_http_connection_refuse(struct amb_http_connection *connection, int status, int retry_after_s);
 
 #endif
--- a/lib/http/input_limit.c
+++ b/lib/http/input_limit.c
@@ -1,7 +1,5 @@
 #include "input_limit.h"
 
-enum { RETRY_AFTER_S = 1 };
-
 void amb_http_input_count(struct amb_http_connection *connection) {
     const struct amb_buf *input = &connection->stream.input;
     struct amb_http_server *server = connection->server;
@@ -24,13 +22,6 @@
     return slowest;
 }
 
-void amb_http_input_enforce_limit(struct amb_http_server *server) {
-    while (server->input_bytes > server->max_input_bytes) {
-        struct amb_http_connection *slowest = find_slowest(server);
-        if (!slowest) return;
-        if (slowest->state == AMB_HTTP_CONNECTION_READING)
-            amb_http_connection_refuse(slowest, AMB_HTTP_SERVICE_UNAVAILABLE, RETRY_AFTER_S);
-        else /* sends more while a request of its is answered */
-            amb_http_connection_close(slowest);
-    }
+struct amb_http_connection *amb_http_input_over_limit(const struct amb_http_server *server) {
+    return server->input_bytes > server->max_input_bytes ? find_slowest(server) : NULL;
 }
--- a/lib/http/input_limit.h
+++ b/lib/http/input_limit.h
@@ -6,9 +6,9 @@
 
 /* Counts the connection's input anew, after it has changed. */
 void amb_http_input_count(struct amb_http_connection *connection);
-/* While the server holds more input than its limit, refuses the request that has been arriving for the
- * longest time: its caller is the slowest, and one that sends at once is not kept from being served by those
- * that do not. May close any connection of the server. */
-void amb_http_input_enforce_limit(struct amb_http_server *server);
+/* Returns the connection whose request has been arriving for the longest time if the server holds more input
+ * than its limit; otherwise NULL. Its caller is the slowest: one that sends at once is not kept from being
+ * served by those that do not. */
+struct amb_http_connection *amb_http_input_over_limit(const struct amb_http_server *server);
 
 #endif
--- a/tests/support/heap_peak.c
+++ b/tests/support/heap_peak.c
@@ -51,6 +51,8 @@
 extern void __libc_free(void *memory);
 /* NOLINTEND(readability-identifier-naming) */
 
+/* NOLINTBEGIN(readability-inconsistent-declaration-parameter-name): glibc gives its parameters reserved names
+ */
 void *malloc(size_t size) {
     void *memory = __libc_malloc(size);
     count_allocated(malloc_usable_size(memory));
@@ -75,6 +77,7 @@
     count_freed(malloc_usable_size(memory));
     __libc_free(memory);
 }
+/* NOLINTEND(readability-inconsistent-declaration-parameter-name) */
 
 static void install_hooks(void) {}
 
--- a/tests/support/heap_peak.h
+++ b/tests/support/heap_peak.h
@@ -1,5 +1,6 @@
-/* The most heap memory that a piece of code holds beyond what was allocated before it. Counts all allocations of the
- * process, also those of libraries: through the hooks of the address sanitizer, or else in place of malloc. */
+/* The most heap memory that a piece of code holds beyond what was allocated before it. Counts all allocations
+ * of the process, also those of libraries: through the hooks of the address sanitizer, or else in place of
+ * malloc. */
 #ifndef AMBERPIN_TESTS_HEAP_PEAK_H
 #define AMBERPIN_TESTS_HEAP_PEAK_H
 
