Keep nothing of a repeated submission, and bound submissions that wait for a read

Callers saw nothing yet: found while looking for relatives of what jobs await. Cause: a submission was decoded in full before the job's name was looked up, and its names, 64 bytes each, were kept until a fresh read was answered, also where the job was known and nothing of them was needed. 343 connections that repeat a submission of 910 names took 20.9 MB of 27.

Change: the name is read first; of a job that is known nothing else is. Submissions of unknown jobs keep their names in one block, as short as they came, count against a sixteenth of the quota and get 503 beyond it; names that no record could hold are not kept (422 after the read, as before).

Before, repeated_submissions_keep_nothing failed with 20,904,335 bytes (1,769,472 are allowed), and waiting_submissions_take_a_share with 20,904,336 (2,537,472 are allowed).

--- a/include/amberpin/job/jobs.h
+++ b/include/amberpin/job/jobs.h
@@ -20,6 +20,7 @@
     size_t active_task_count;   /* sum over the active jobs */
     bool has_unadmitted;        /* a job was not activated for lack of memory */
     bool memory_freed;          /* a job has been deactivated since then */
+    size_t draft_bytes;         /* of submissions that are not accepted yet */
     size_t reserved_bytes;      /* of the job table, for submissions that are being written */
     struct amb_job_names names; /* of jobs with dependencies or dependents */
     struct amb_cancellations cancellations;
--- a/include/amberpin/node/memory_budget.h
+++ b/include/amberpin/node/memory_budget.h
@@ -48,5 +48,7 @@
 /* Whether the job table is so full that a job with dependencies is accepted only after a fresh read, which
  * shows what other nodes have accepted. */
 bool amb_memory_is_nearly_full(const struct amb_node *node);
+/* Bytes for submissions that are not accepted yet. */
+size_t amb_memory_max_draft_bytes(const struct amb_settings *settings);
 
 #endif
--- a/lib/api/user_api.c
+++ b/lib/api/user_api.c
@@ -27,12 +27,14 @@
     struct amb_job *draft; /* the job to accept; without a description if the submission is malformed */
     struct amb_name_list *dependencies; /* of the draft; NULL: none */
     bool dependencies_too_large;        /* they do not fit the record, and were dropped */
+    size_t draft_bytes;                 /* that the draft takes */
     size_t reserved_bytes;              /* of the job table, while the draft is written */
     bool is_sent;                       /* a transaction with the draft was sent */
 };
 
 static void free_draft(struct user_request *request) {
     struct amb_jobs *jobs = &request->node->jobs;
+    jobs->draft_bytes -= request->draft_bytes;
     jobs->reserved_bytes -= request->reserved_bytes;
     if (request->draft) free(request->draft->spec);
     free(request->draft);
@@ -206,15 +208,23 @@
         request->dependencies = dependencies;
 }
 
-/* Decodes the body into the draft. Stores the job's name in the request even if the rest is malformed. */
+static void count_draft(struct user_request *request) {
+    request->draft_bytes = sizeof *request->draft;
+    if (request->draft->spec) request->draft_bytes += sizeof *request->draft->spec;
+    if (request->dependencies)
+        request->draft_bytes += sizeof *request->dependencies + request->dependencies->text_bytes;
+    request->node->jobs.draft_bytes += request->draft_bytes;
+}
+
+/* Decodes the body into the draft. */
 static void read_submission(struct user_request *request, const struct amb_cbor_item *body) {
     struct amb_submission submission;
     request->error = amb_codec_decode_submission_item(body, &submission);
     request->draft = amb_alloc(sizeof *request->draft);
-    strcpy(request->ref, submission.job_ref);
     strcpy(request->draft->ref, submission.job_ref);
     request->draft->spec = submission.spec;
     set_dependencies(request, submission.dependencies);
+    count_draft(request);
 }
 
 static enum amb_admission check_admission(const struct user_request *request) {
@@ -276,9 +286,22 @@
     }
 }
 
+static void submit_unknown(struct user_request *request, const struct amb_cbor_item *body) {
+    struct amb_node *node = request->node;
+    read_submission(request, body);
+    if (node->jobs.draft_bytes > amb_memory_max_draft_bytes(&node->settings)) {
+        log_refusal(request, "no memory left for submissions");
+        reply_status(request, AMB_HTTP_SERVICE_UNAVAILABLE);
+    } else {
+        decide_submission(request, false);
+    }
+}
+
+/* The rest of a repeated submission is not read: the job is what the first one made of it. */
 static void submit(struct user_request *request) {
     const struct amb_http_req *http_request = request->http_request;
-    read_submission(request, amb_cbor_parse(http_request->body, http_request->body_len));
+    const struct amb_cbor_item *body = amb_cbor_parse(http_request->body, http_request->body_len);
+    amb_codec_decode_submission_ref(body, request->ref);
     struct amb_job *known = amb_job_find(request->node, request->ref);
     if (!amb_codec_is_job_ref(request->ref)) /* no job can have been accepted under such a name */
         reply_status(request, AMB_HTTP_BAD_REQUEST);
@@ -287,7 +310,7 @@
     else if (known)
         request_fresh_read(request);
     else
-        decide_submission(request, false);
+        submit_unknown(request, body);
 }
 
 static void look_up(struct user_request *request) {
--- a/lib/node/memory_budget.c
+++ b/lib/node/memory_budget.c
@@ -8,6 +8,7 @@
 static const double JOB_TABLE_SHARE = 1.0 / 3;
 static const double NEARLY_FULL_SHARE = 3.0 / 4;      /* of the job table */
 static const double UNHEARD_JOBS_MAX_SHARE = 1.0 / 4; /* of the job table */
+static const double DRAFT_SHARE = 1.0 / 16;
 static const double MACHINE_SHARE = 1.0 / 4;
 static const double REMOVED_MACHINES_SHARE = 1.0 / 64;
 static const double RESPONSE_SHARE = 1.0 / 8;
@@ -68,6 +69,7 @@
     LONGEST_NAME_BYTES = 49,      /* of a job, with its terminating zero */
     SHORTEST_NAME_JSON_BYTES = 7, /* "wk-1" in a list, with quotes and comma */
     BYTES_PER_KB = 1024,
+    DRAFTS_LEAST_BYTES = 64 * 1024, /* the largest body of a submission, by the protocol */
 };
 static const double UNHEARD_S =
     1; /* for how long other nodes may accept jobs before this node hears of them */
@@ -125,6 +127,11 @@
     return (double)claimed_bytes(node) > most;
 }
 
+size_t amb_memory_max_draft_bytes(const struct amb_settings *settings) {
+    const size_t share = share_of(settings, DRAFT_SHARE);
+    return share > DRAFTS_LEAST_BYTES ? share : DRAFTS_LEAST_BYTES;
+}
+
 /* ---- messages and machines ---- */
 
 enum {
--- a/tests/job/test_dependency_memory.c
+++ b/tests/job/test_dependency_memory.c
@@ -14,7 +14,11 @@
     MIB = 1024 * 1024,
     QUOTA_MB = 27,
     JOB_TABLE_BYTES = QUOTA_MB * MIB / 3,
+    DRAFT_BYTES = QUOTA_MB * MIB / 16,
     JOBS_MAX = 1400,
+    CONNECTIONS = 343,        /* of users, with 500 sockets */
+    REQUEST_BYTES = 2 * 1024, /* of a request that waits, without its body and what it asks for */
+    BODY_MAX_BYTES = 64 * 1024,
     MOST_NAMES = 910, /* of six letters, with quotes and comma in half of 16 KiB */
 };
 
@@ -151,6 +155,17 @@
     fake_answer(call, 200, &body);
 }
 
+/* The requests that came after the first read was sent wait for a second one. */
+static void answer_all_fresh_reads(void) {
+    struct amb_timer *timer = &node->watch.fresh_read_timer;
+    answer_fresh_read();
+    if (!timer->position) return;
+    amb_timer_stop(timer);
+    fill_budgets();
+    timer->fn(timer->arg);
+    answer_fresh_read();
+}
+
 /* ---- records ---- */
 
 struct pipeline_row {
@@ -269,6 +284,7 @@
             fail_msg("%s: %u accepted, %u refused, %zu bytes", rows[i].what, accepted, refused, claimed);
         fake_answer_all_lost();
         assert_int_equal(node->jobs.reserved_bytes, 0);
+        assert_int_equal(node->jobs.draft_bytes, 0);
     }
 }
 
@@ -342,6 +358,71 @@
     amb_buf_free(&body);
 }
 
+/* ---- submissions that wait for a read ---- */
+
+/* A submission of a job that is known is answered from the table. Its names took 64 bytes each until then, so
+ * that 343 of them took 20 MB. */
+static void repeated_submissions_keep_nothing(void **state) {
+    (void)state;
+    const struct awaited most = {SIX_LETTERS, 0, MOST_NAMES};
+    static struct fake_reply replies[CONNECTIONS];
+    begin(QUOTA_MB);
+    accept_all_elsewhere(SIX_LETTERS, 0, MOST_NAMES);
+    accept_elsewhere("wk-known", most);
+    struct amb_buf body = new_submission("wk-known", most);
+    heap_peak_begin();
+    for (size_t i = 0; i < CONNECTIONS; i++) send_submission(&body, &replies[i]);
+    size_t taken = heap_peak_end();
+    if (taken > DRAFT_BYTES) fail_msg("%zu bytes, %d are allowed", taken, DRAFT_BYTES);
+    answer_all_fresh_reads();
+    for (size_t i = 0; i < CONNECTIONS; i++) {
+        assert_int_equal(replies[i].status, 200);
+        amb_buf_free(&replies[i].body);
+        replies[i] = (struct fake_reply){0};
+    }
+    amb_buf_free(&body);
+}
+
+/* Submissions that wait for a read together take a share of the memory; the others get 503 at once. Names
+ * that no record could hold are not kept. */
+static void waiting_submissions_take_a_share(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        uint32_t names; /* of jobs that are not known */
+        bool some_refused;
+        int status; /* of the others, after the read */
+    } rows[] = {{"few names", 1, false, 422},
+                {"the most names that a record holds", MOST_NAMES, true, 422},
+                {"more names than a record holds", 5000, false, 422}};
+    for (size_t i = 0; i < ROWS(rows); i++) {
+        static struct fake_reply replies[CONNECTIONS];
+        static struct amb_buf bodies[CONNECTIONS];
+        size_t refused = 0;
+        begin(QUOTA_MB);
+        for (uint32_t k = 0; k < CONNECTIONS; k++) {
+            char ref[AMB_NAME_SIZE];
+            strcpy(ref, format_name(NINE_LETTERS, k));
+            bodies[k] = new_submission(ref, (struct awaited){SIX_LETTERS, 0, rows[i].names});
+        }
+        heap_peak_begin();
+        for (size_t k = 0; k < CONNECTIONS; k++) send_submission(&bodies[k], &replies[k]);
+        size_t taken = heap_peak_end();
+        size_t bound = DRAFT_BYTES + BODY_MAX_BYTES + (size_t)CONNECTIONS * REQUEST_BYTES;
+        if (taken > bound) fail_msg("%s: %zu bytes, %zu are allowed", rows[i].what, taken, bound);
+        answer_all_fresh_reads();
+        for (size_t k = 0; k < CONNECTIONS; k++) {
+            refused += replies[k].status == 503;
+            if (replies[k].status != 503) assert_int_equal(replies[k].status, rows[i].status);
+            amb_buf_free(&replies[k].body);
+            amb_buf_free(&bodies[k]);
+            replies[k] = (struct fake_reply){0};
+        }
+        if ((refused > 0) != rows[i].some_refused) fail_msg("%s: %zu refused", rows[i].what, refused);
+        assert_int_equal(node->jobs.draft_bytes, 0);
+    }
+}
+
 /* ---- names ---- */
 
 static struct amb_name_list *new_names(const char *letters) {
@@ -395,6 +476,8 @@
         TEST(room_is_left_for_jobs_accepted_elsewhere),
         TEST(little_room_needs_a_fresh_read),
         TEST(dependencies_that_never_fit_are_refused),
+        TEST(repeated_submissions_keep_nothing),
+        TEST(waiting_submissions_take_a_share),
         TEST(names_are_kept_once),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
