Bound of a peer message's values holds for what the allocator rounds up

Cause: the last allocation before the bound was compared by the size that was asked for, and the allocator gave up to 16 bytes more.

Change: an allocation is refused when it could exceed the bound rounded up.

--- a/lib/codec/json_parse.c
+++ b/lib/codec/json_parse.c
@@ -3,12 +3,14 @@
 #include <malloc.h>
 #include <stdlib.h>
 
+enum { ROUNDING_BYTES = 32 }; /* that an allocation may take beyond what was asked for */
+
 /* The memory that jansson may still allocate while a text is parsed. The event loop is the only thread. */
 static bool is_parsing, is_refused;
 static size_t bytes_left;
 
 static void *allocate(size_t size) {
-    if (is_parsing && size > bytes_left) {
+    if (is_parsing && size + ROUNDING_BYTES > bytes_left) {
         is_refused = true;
         return NULL;
     }
