Drafts of submissions in a module of their own

Behaviour as before.

dependencies_that_never_fit_are_refused did not notice its defence: the awaited jobs were unknown, so the answer was 422 anyway. They are known now.

--- a/lib/api/user_api.c
+++ b/lib/api/user_api.c
@@ -3,12 +3,11 @@
  */
 #include "amberpin/api/user_api.h"
 
-#include "amberpin/api/admission.h"
+#include "amberpin/api/draft.h"
 #include "amberpin/base/log.h"
 #include "amberpin/codec/kvstore_messages.h"
 #include "amberpin/codec/user_messages.h"
 #include "amberpin/job/cancellation_notice.h"
-#include "amberpin/node/memory_budget.h"
 #include "amberpin/node/node.h"
 
 #include <stdlib.h>
@@ -23,26 +22,12 @@
     char ref[AMB_NAME_SIZE];
     int cancel_retries; /* only for a cancellation: transactions that failed because the job had changed */
     /* Only for the submission of a job that is not known: */
-    struct amb_submission_error error; /* why the submission is malformed */
-    struct amb_job *draft; /* the job to accept; without a description if the submission is malformed */
-    struct amb_name_list *dependencies; /* of the draft; NULL: none */
-    bool dependencies_too_large;        /* they do not fit the record, and were dropped */
-    size_t draft_bytes;                 /* that the draft takes */
-    size_t reserved_bytes;              /* of the job table, while the draft is written */
-    bool is_sent;                       /* a transaction with the draft was sent */
+    struct amb_draft *draft; /* owned */
+    bool is_sent;            /* a transaction with the draft was sent */
 };
 
-static void free_draft(struct user_request *request) {
-    struct amb_jobs *jobs = &request->node->jobs;
-    jobs->draft_bytes -= request->draft_bytes;
-    jobs->reserved_bytes -= request->reserved_bytes;
-    if (request->draft) free(request->draft->spec);
-    free(request->draft);
-    free(request->dependencies);
-}
-
 static void request_free(struct user_request *request) {
-    free_draft(request);
+    amb_draft_free(request->node, request->draft);
     free(request);
 }
 
@@ -83,8 +68,9 @@
     struct amb_node *node = request->node;
     uint64_t revision;
     if (status == AMB_HTTP_OK && amb_kvstore_decode_commit(body, &revision)) {
-        const struct amb_job_spec *spec = request->draft->spec;
-        amb_job_apply_own_write(node, request->draft, request->dependencies, AMB_JOB_QUEUED, revision);
+        const struct amb_draft *draft = request->draft;
+        const struct amb_job_spec *spec = draft->job->spec;
+        amb_job_apply_own_write(node, draft->job, draft->dependencies, AMB_JOB_QUEUED, revision);
         amb_info("job %s: accepted for %s, %u tasks of class %s", request->ref, spec->team, spec->task_count,
                  spec->class_name);
         amb_debug("job %s: a task takes %g vcpus, %g accelerators, %g GB, image %g GB, for %g s, due in %g s",
@@ -180,89 +166,13 @@
     }
 }
 
-/* Returns the share of the write budget that is reserved for jobs of higher priority, so that those are
- * accepted first when more jobs are submitted than can be written. */
-static double reserved_write_share(const struct amb_job_spec *spec) {
-    return spec->priority == AMB_PRIORITY_PRODUCTION ? 0 : spec->priority == AMB_PRIORITY_HIGH ? 0.2 : 0.3;
-}
-
-static struct amb_dependency_usage added_usage(const struct user_request *request) {
-    return amb_job_names_added_usage(&request->node->jobs.names, request->ref, request->dependencies);
-}
-
 static void send_submission(struct user_request *request) {
-    struct amb_job *draft = request->draft; /* revision 0: the transaction fails if the job exists */
-    const struct amb_dependency_usage usage = added_usage(request);
-    draft->accepted_wall_ms = amb_wall_ms();
+    struct amb_draft *draft = request->draft;
+    struct amb_job *job = draft->job; /* revision 0: the transaction fails if the job exists */
+    job->accepted_wall_ms = amb_wall_ms();
     request->is_sent = true;
-    request->reserved_bytes = amb_memory_job_bytes(&usage);
-    request->node->jobs.reserved_bytes += request->reserved_bytes;
-    write_job(request, draft, request->dependencies, AMB_JOB_QUEUED, on_submission_written);
-}
-
-static void set_dependencies(struct user_request *request, struct amb_name_list *dependencies) {
-    request->dependencies_too_large = !amb_admission_fits_record(&request->node->settings, dependencies);
-    if (request->dependencies_too_large)
-        free(dependencies);
-    else
-        request->dependencies = dependencies;
-}
-
-static void count_draft(struct user_request *request) {
-    request->draft_bytes = sizeof *request->draft;
-    if (request->draft->spec) request->draft_bytes += sizeof *request->draft->spec;
-    if (request->dependencies)
-        request->draft_bytes += sizeof *request->dependencies + request->dependencies->text_bytes;
-    request->node->jobs.draft_bytes += request->draft_bytes;
-}
-
-/* Decodes the body into the draft. */
-static void read_submission(struct user_request *request, const struct amb_cbor_item *body) {
-    struct amb_submission submission;
-    request->error = amb_codec_decode_submission_item(body, &submission);
-    request->draft = amb_alloc(sizeof *request->draft);
-    strcpy(request->draft->ref, submission.job_ref);
-    request->draft->spec = submission.spec;
-    set_dependencies(request, submission.dependencies);
-    count_draft(request);
-}
-
-static enum amb_admission check_admission(const struct user_request *request) {
-    struct amb_node *node = request->node;
-    const struct amb_job *draft = request->draft;
-    if (request->error.problem != AMB_SUBMISSION_VALID) return AMB_ADMISSION_MALFORMED;
-    if (request->dependencies_too_large) return AMB_ADMISSION_NEVER_RUNS;
-    enum amb_admission admission = amb_admission_check_job(node, draft->spec);
-    if (admission == AMB_ADMISSION_NEVER_RUNS) return admission;
-    if (amb_admission_check_record(node, draft, request->dependencies) == AMB_ADMISSION_NEVER_RUNS)
-        return AMB_ADMISSION_NEVER_RUNS;
-    enum amb_admission by_dependencies =
-        amb_admission_check_dependencies(node, draft->ref, request->dependencies);
-    return by_dependencies == AMB_ADMISSION_CAN_RUN ? admission : by_dependencies;
-}
-
-static bool log_refusal(const struct user_request *request, const char *cause) {
-    amb_debug("job %s: not accepted now: %s", request->ref, cause);
-    return false;
-}
-
-static bool can_accept_now(const struct user_request *request, enum amb_admission admission) {
-    struct amb_node *node = request->node;
-    const struct amb_job_spec *spec = request->draft->spec;
-    const struct amb_dependency_usage usage = added_usage(request);
-    if (admission == AMB_ADMISSION_UNDECIDED)
-        return log_refusal(request, "it is undecided whether the job can run");
-    if (!amb_memory_has_room_for_job(node, spec, &usage))
-        return log_refusal(request, "no memory left for jobs");
-    if (!amb_store_can_write_for_user(&node->store, 1, reserved_write_share(spec)))
-        return log_refusal(request, "too many writes to the state service are queued");
-    return true;
-}
-
-/* Whether the job may be accepted only after a fresh read: there is little room left for jobs with
- * dependencies, and other nodes may have used it. */
-static bool needs_fresh_view(const struct user_request *request) {
-    return request->dependencies && amb_memory_is_nearly_full(request->node);
+    amb_draft_reserve(request->node, draft);
+    write_job(request, job, draft->dependencies, AMB_JOB_QUEUED, on_submission_written);
 }
 
 /* Decides on the submission of a job that is not known here. is_fresh: a fresh read has shown that the job
@@ -270,16 +180,18 @@
  * its submission is repeated, so every refusal needs a fresh read first, also that of a malformed repetition.
  * So does a refusal for an unknown dependency, which another node may just have accepted. */
 static void decide_submission(struct user_request *request, bool is_fresh) {
-    enum amb_admission admission = check_admission(request);
+    struct amb_node *node = request->node;
+    const struct amb_draft *draft = request->draft;
+    enum amb_admission admission = amb_draft_check(node, draft);
     if (admission == AMB_ADMISSION_MALFORMED || admission == AMB_ADMISSION_NEVER_RUNS) {
         if (is_fresh)
             reply_status(request, admission == AMB_ADMISSION_MALFORMED ? AMB_HTTP_BAD_REQUEST
                                                                        : AMB_HTTP_UNPROCESSABLE_CONTENT);
         else
             request_fresh_read(request);
-    } else if (!can_accept_now(request, admission)) {
+    } else if (!amb_draft_can_be_accepted(node, draft, admission)) {
         reply_status(request, AMB_HTTP_SERVICE_UNAVAILABLE);
-    } else if (!is_fresh && needs_fresh_view(request)) {
+    } else if (!is_fresh && amb_draft_needs_fresh_read(node, draft)) {
         request_fresh_read(request);
     } else {
         send_submission(request);
@@ -287,10 +199,9 @@
 }
 
 static void submit_unknown(struct user_request *request, const struct amb_cbor_item *body) {
-    struct amb_node *node = request->node;
-    read_submission(request, body);
-    if (node->jobs.draft_bytes > amb_memory_max_draft_bytes(&node->settings)) {
-        log_refusal(request, "no memory left for submissions");
+    request->draft = amb_draft_new(request->node, body);
+    if (amb_drafts_exceed_memory(request->node)) {
+        amb_debug("job %s: not accepted now: no memory left for submissions", request->ref);
         reply_status(request, AMB_HTTP_SERVICE_UNAVAILABLE);
     } else {
         decide_submission(request, false);
--- a/tests/job/test_dependency_memory.c
+++ b/tests/job/test_dependency_memory.c
@@ -348,9 +348,12 @@
     (void)state;
     enum { NAMES = 9000 };
     struct amb_buf body = new_submission("wk-new", (struct awaited){NINE_LETTERS, 0, NAMES});
+    const struct amb_buf done = cbor_from_text("{\"s\":\"done\",\"n\":1}");
     struct fake_reply reply = {0};
     begin(4);
     node->settings.value_kb = 1000;
+    for (uint32_t i = 0; i < NAMES; i++) apply(format_name(NINE_LETTERS, i), &done);
+    free(done.data);
     send_submission(&body, &reply);
     answer_fresh_read();
     assert_int_equal(reply.status, 422);
