--- a/lib/node/memory_budget.c
+++ b/lib/node/memory_budget.c
@@ -71,8 +71,7 @@
     BYTES_PER_KB = 1024,
     DRAFTS_LEAST_BYTES = 64 * 1024, /* the largest body of a submission, by the protocol */
 };
-static const double UNHEARD_S =
-    1; /* for how long other nodes may accept jobs before this node hears of them */
+static const double UNHEARD_S = 1; /* time in which other nodes accept jobs before this one hears of them */
 
 /* Returns the number of names that half of a record has room for, which are as many as admission allows. */
 static size_t max_dependencies(const struct amb_settings *settings) {
--- a/tests/job/test_dependency_memory.c
+++ b/tests/job/test_dependency_memory.c
@@ -230,18 +230,40 @@
     }
 }
 
-static void memory_is_freed_with_the_jobs(void **state) {
+static void expect_no_dependencies(const char *what) {
+    const struct amb_dependency_usage *usage = &node->jobs.names.usage;
+    if (usage->edges || usage->names || usage->lists || usage->name_bytes)
+        fail_msg("%s: %zu edges, %zu names, %zu lists", what, usage->edges, usage->names, usage->lists);
+    if (!amb_dependency_graph_is_empty(&node->pipelines.graph)) fail_msg("%s: the graph is not empty", what);
+}
+
+static void dependencies_are_freed_when_jobs_are_done(void **state) {
     (void)state;
-    begin(QUOTA_MB);
-    read_records(&pipeline_rows[0]);
     const struct amb_buf done = cbor_from_text("{\"s\":\"done\",\"n\":1}");
-    for (uint32_t i = 0; i < pipeline_rows[0].first_stage + pipeline_rows[0].others; i++)
-        apply(format_name(NINE_LETTERS, i), &done);
+    for (size_t i = 0; i < ROWS(pipeline_rows); i++) {
+        const struct pipeline_row *row = &pipeline_rows[i];
+        begin(QUOTA_MB);
+        read_records(row);
+        for (uint32_t k = 0; k < row->first_stage + row->others; k++)
+            apply(format_name(row->format, k), &done);
+        expect_no_dependencies(row->what);
+    }
     free(done.data);
-    assert_int_equal(node->jobs.names.usage.edges, 0);
-    assert_int_equal(node->jobs.names.usage.names, 0);
-    assert_int_equal(node->jobs.names.usage.lists, 0);
-    assert_true(amb_dependency_graph_is_empty(&node->pipelines.graph));
+}
+
+/* A list is kept until no task of the cancelled job can be left. */
+static void dependencies_are_freed_after_a_cancellation(void **state) {
+    (void)state;
+    for (size_t i = 0; i < ROWS(pipeline_rows); i++) {
+        const struct pipeline_row *row = &pipeline_rows[i];
+        begin(QUOTA_MB);
+        read_records(row);
+        amb_job_apply_cancel_hint(node, format_name(row->format, 0), amb_wall_ms(), ++revision);
+        if (!amb_dependency_graph_is_empty(&node->pipelines.graph)) fail_msg("%s: still waiting", row->what);
+        assert_true(node->jobs.names.usage.edges > 0);
+        amb_cancellations_drop_specs(node, amb_now() + amb_seconds_to_ms(3 * node->settings.cancel_s));
+        expect_no_dependencies(row->what);
+    }
 }
 
 /* ---- submissions ---- */
@@ -474,7 +496,8 @@
     const struct CMUnitTest tests[] = {
         TEST(records_of_pipelines_fit_the_job_table),
         TEST(counted_memory_covers_what_is_held),
-        TEST(memory_is_freed_with_the_jobs),
+        TEST(dependencies_are_freed_when_jobs_are_done),
+        TEST(dependencies_are_freed_after_a_cancellation),
         TEST(submissions_are_refused_when_dependencies_do_not_fit),
         TEST(room_is_left_for_jobs_accepted_elsewhere),
         TEST(little_room_needs_a_fresh_read),
