Count what a submission adds once, and free test nodes in one pass

Read again: the names of a submission were looked up in the table of names twice in a row, to see whether the job fits and to reserve its room. The draft keeps the first result. A test node's graph was cleared twice; the order of before is enough, since clearing the graph does not read the lists that it borrows. Behaviour as before.

--- a/lib/api/draft.c
+++ b/lib/api/draft.c
@@ -54,10 +54,6 @@
 
 /* ---- deciding ---- */
 
-static struct amb_dependency_usage added_usage(const struct amb_node *node, const struct amb_draft *draft) {
-    return amb_job_names_added_usage(&node->jobs.names, draft->job->ref, draft->dependencies);
-}
-
 bool amb_drafts_exceed_memory(const struct amb_node *node) {
     return node->jobs.draft_bytes > amb_memory_max_draft_bytes(&node->settings);
 }
@@ -85,13 +81,12 @@
     return false;
 }
 
-bool amb_draft_can_be_accepted(struct amb_node *node, const struct amb_draft *draft,
-                               enum amb_admission admission) {
+bool amb_draft_can_be_accepted(struct amb_node *node, struct amb_draft *draft, enum amb_admission admission) {
     const struct amb_job_spec *spec = draft->job->spec;
-    const struct amb_dependency_usage usage = added_usage(node, draft);
+    draft->usage = amb_job_names_added_usage(&node->jobs.names, draft->job->ref, draft->dependencies);
     if (admission == AMB_ADMISSION_UNDECIDED)
         return log_refusal(draft, "it is undecided whether the job can run");
-    if (!amb_memory_has_room_for_job(node, spec, &usage))
+    if (!amb_memory_has_room_for_job(node, spec, &draft->usage))
         return log_refusal(draft, "no memory left for jobs");
     if (!amb_store_can_write_for_user(&node->store, 1, reserved_write_share(spec)))
         return log_refusal(draft, "too many writes to the state service are queued");
@@ -103,7 +98,6 @@
 }
 
 void amb_draft_reserve(struct amb_node *node, struct amb_draft *draft) {
-    const struct amb_dependency_usage usage = added_usage(node, draft);
-    draft->reserved_bytes = amb_memory_job_bytes(&usage);
+    draft->reserved_bytes = amb_memory_job_bytes(&draft->usage);
     node->jobs.reserved_bytes += draft->reserved_bytes;
 }
--- a/lib/api/user_api.c
+++ b/lib/api/user_api.c
@@ -181,7 +181,7 @@
  * So does a refusal for an unknown dependency, which another node may just have accepted. */
 static void decide_submission(struct user_request *request, bool is_fresh) {
     struct amb_node *node = request->node;
-    const struct amb_draft *draft = request->draft;
+    struct amb_draft *draft = request->draft;
     enum amb_admission admission = amb_draft_check(node, draft);
     if (admission == AMB_ADMISSION_MALFORMED || admission == AMB_ADMISSION_NEVER_RUNS) {
         if (is_fresh)
--- a/tests/support/bare_node.c
+++ b/tests/support/bare_node.c
@@ -22,10 +22,9 @@
 }
 
 void bare_node_free(struct amb_node *node) {
+    free_jobs(node);
     amb_timer_stop(&node->peers.heartbeat_timer);
     amb_timer_stop(&node->store.dispatch_timer);
-    amb_dependency_graph_clear(&node->pipelines.graph);
-    free_jobs(node);
     amb_pipelines_clear(node);
     amb_machines_forget_removed(node);
     amb_peer_clear_cached_messages(node);
