Log what a start relies on, and how a node learns of a cancellation

Cause: a start that went out after a cancellation was confirmed could not be traced: the log named neither the read of the state service that the leader relied on nor where it heard of the cancellation.

Change: debug lines for each page of changes (revision, when its read was sent), each ordered start (age of the heartbeat, known revision, age of the latest read), each cancellation (written here, read, heard from a peer) and each user who is told.

--- a/lib/api/user_api.c
+++ b/lib/api/user_api.c
@@ -51,7 +51,11 @@
     bool is_query = request->operation == AMB_USER_QUERY;
     const struct amb_job_status job_status = status_of(job);
     struct amb_buf body = {0};
-    if (job->state == AMB_JOB_CANCELLED) amb_cancellation_notice_send_cancelled(request->node, job);
+    if (job->state == AMB_JOB_CANCELLED) {
+        amb_debug("job %s: telling a user that it is cancelled, revision %llu", job->ref,
+                  (unsigned long long)job->cancel_revision);
+        amb_cancellation_notice_send_cancelled(request->node, job);
+    }
     amb_codec_encode_job_status(&body, &job_status, is_query ? AMB_JOB_STATUS_FULL : AMB_JOB_STATUS_BRIEF);
     amb_http_reply_cbor(request->http_request, status, &body, 0);
     request_free(request);
--- a/lib/fleet/agent_commands.c
+++ b/lib/fleet/agent_commands.c
@@ -1,5 +1,6 @@
 #include "amberpin/fleet/agent_commands.h"
 
+#include "amberpin/base/log.h"
 #include "amberpin/codec/messages.h"
 #include "amberpin/job/cancellation_notice.h"
 #include "amberpin/node/node.h"
@@ -35,6 +36,17 @@
     return true;
 }
 
+/* Logs which read of the key-value store the start relies on. */
+static void log_start(const struct amb_node *node, const struct amb_task *task) {
+    const struct amb_watch *watch = &node->watch;
+    amb_debug(
+        "task %s/%u attempt %llu on %s: start ordered, heartbeat received %lld ms ago, changes known up to "
+        "revision %llu, latest read sent %lld ms ago",
+        task->job->ref, task->index, (unsigned long long)task->attempt, task->machine->name,
+        (long long)(amb_now() - task->machine->last_heartbeat_at), (unsigned long long)watch->known_revision,
+        (long long)(amb_now() - watch->last_read_sent_at));
+}
+
 void amb_command_list_add_start(struct amb_node *node, struct amb_task *task, struct amb_command_list *list) {
     struct amb_job *job = task->job;
     const struct amb_machine *machine = task->machine;
@@ -44,6 +56,7 @@
     if (amb_cancellation_is_pending(node, job)) return;
     if (is_full(list)) return; /* not marked as sent, so the next heartbeat's response carries it */
     task->start_sent = true;
+    log_start(node, task);
     amb_command_list_add(list, AMB_COMMAND_RUN, job->ref, task->index, task->attempt, 0);
 }
 
--- a/lib/job/jobs.c
+++ b/lib/job/jobs.c
@@ -88,6 +88,10 @@
     if (record->state == AMB_JOB_CANCELLED) job->cancel_revision = revision;
 }
 
+static void log_cancellation(const struct amb_job *job, uint64_t revision, const char *source) {
+    amb_debug("job %s: cancellation of revision %llu %s", job->ref, (unsigned long long)revision, source);
+}
+
 static void apply_record(struct amb_node *node, const char *ref, const struct amb_job_record *record,
                          uint64_t revision) {
     struct amb_job *job = amb_job_find(node, ref);
@@ -96,6 +100,7 @@
     bool is_new = !job;
     if (is_new) job = add_job(node, ref);
     enum amb_job_state new_state = record->state;
+    if (new_state == AMB_JOB_CANCELLED) log_cancellation(job, revision, "read from the state service");
     copy_fields(job, record, revision);
     if (needs_description(job, new_state)) read_spec(node, job, record->description);
     /* A peer may report a cancellation before the job's record is read, and a cancellation is final. (One
@@ -165,6 +170,7 @@
 
 void amb_job_apply_own_cancellation(struct amb_node *node, struct amb_job *job, uint64_t revision) {
     if (revision <= job->revision) return; /* the watch has already delivered it */
+    log_cancellation(job, revision, "written by this node");
     job->revision = job->cancel_revision = revision;
     job->cancelled_wall_ms = amb_wall_ms();
     amb_store_count_user_write(&node->store);
@@ -179,6 +185,7 @@
     struct amb_job *job = amb_job_find(node, ref);
     if (!job && strlen(ref) < AMB_NAME_SIZE) job = add_job(node, ref);
     if (!job || job->state != AMB_JOB_QUEUED) return;
+    log_cancellation(job, revision, "heard from a peer");
     job->cancelled_wall_ms = cancelled_wall_ms;
     job->cancel_revision = revision;
     set_state(node, job, AMB_JOB_CANCELLED);
--- a/lib/watch/key_changes.c
+++ b/lib/watch/key_changes.c
@@ -72,6 +72,8 @@
         !apply_parsed_page(node, page, len, &store_revision))
         return false;
     if (store_revision > watch->known_revision) watch->known_revision = store_revision;
+    amb_debug("changes: read up to revision %llu, %zu bytes, sent %lld ms ago",
+              (unsigned long long)store_revision, len, (long long)(amb_now() - sent_at));
     watch->last_read_at = amb_now();
     if (sent_at > watch->last_read_sent_at) watch->last_read_sent_at = sent_at;
     return true;
