A token bucket without a rate never fills, on every processor

Cause: amb_token_bucket_delay divided by a rate of zero and converted the infinite result to an integer, which is undefined.

Change: the delay is AMB_TOKEN_BUCKET_NEVER_MS then; the test's setup states a rate that gives the nine calls it has in its bucket. Its checks are as before.

--- a/include/amberpin/kvstore/token_bucket.h
+++ b/include/amberpin/kvstore/token_bucket.h
@@ -21,8 +21,11 @@
 /* Adds the tokens gained since the last refill. */
 void amb_token_bucket_refill(struct amb_token_bucket *bucket, amb_ms now);
 
-/* How long until the bucket holds this many tokens, or is full if that is more than its capacity; 0: it holds
- * them now. */
+/* Delay for a bucket that lacks tokens and gains none. */
+enum { AMB_TOKEN_BUCKET_NEVER_MS = INT32_MAX };
+
+/* How long in ms until the bucket holds this many tokens, or is full if that is more than its capacity; 0: it
+ * holds them now. AMB_TOKEN_BUCKET_NEVER_MS: it has no rate. */
 amb_ms amb_token_bucket_delay(const struct amb_token_bucket *bucket, double tokens);
 
 #endif
--- a/lib/kvstore/token_bucket.c
+++ b/lib/kvstore/token_bucket.c
@@ -27,5 +27,6 @@
     /* A request for more than the capacity is let through when the bucket is full. */
     double missing = fmin(tokens, amb_token_bucket_capacity(bucket)) - bucket->tokens;
     if (missing <= ROUNDING_ERROR) return 0;
+    if (bucket->tokens_per_second <= 0) return AMB_TOKEN_BUCKET_NEVER_MS;
     return (amb_ms)ceil(missing / bucket->tokens_per_second * 1000.0);
 }
--- a/tests/cloud/test_scale_out.c
+++ b/tests/cloud/test_scale_out.c
@@ -86,6 +86,7 @@
     node->catalog.types[0].zone_count = 1;
     node->catalog.types[0].boot_s = 50;
     amb_catalog_find_or_add_zone(&node->catalog, "a");
+    node->settings.cloud_rps = 9;
     node->cloud.call_budget.tokens = 9;
 }
 
--- a/tests/kvstore/test_write_budget.c
+++ b/tests/kvstore/test_write_budget.c
@@ -37,6 +37,16 @@
 /* All nodes use the users' half of the store's writes together. When it was divided among seven nodes, the
  * second of two submissions to one node within 0.6 s was refused, although only 1.3 of 20 tokens per second
  * were in use. */
+/* Guards against the conversion of an infinite delay to an integer, which is undefined: it let the call pass
+ * on one processor and delayed it for ever on another. */
+static void a_bucket_without_a_rate_never_fills(void **state) {
+    (void)state;
+    struct amb_token_bucket bucket = {.tokens = 0.5};
+    assert_int_equal(amb_token_bucket_delay(&bucket, 1), AMB_TOKEN_BUCKET_NEVER_MS);
+    bucket.tokens = 1;
+    assert_int_equal(amb_token_bucket_delay(&bucket, 1), 0);
+}
+
 static void users_share_writes(void **state) {
     (void)state;
     static const struct {
@@ -138,6 +148,7 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {
+        cmocka_unit_test(a_bucket_without_a_rate_never_fills),
         cmocka_unit_test_setup_teardown(users_share_writes, setup, teardown),
         cmocka_unit_test_setup_teardown(leader_lends_spare_tokens, setup, teardown),
         cmocka_unit_test_setup_teardown(duty_holders_get_write_share, setup, teardown),
