Order a start only after a fresh read that was sent after the heartbeat had arrived

Cause: a start rested on a record that was guarded by the job's revision when it was written. Nothing asked again when the start went out. If the leader's changes were late and its peers' notices lost, it ordered what was already cancelled.

Change: a response with starts waits for a fresh read that is sent after its heartbeat has arrived, one read for all that wait, and is made from what is known then. One function orders starts. It works because a user is told only of what is on record: such a read contains every cancellation that was confirmed before the agent sent the heartbeat.

Tests that took starts from the evaluation of a heartbeat now answer the read first; the check of messages to the production version passed over no refused connection (status 0 of a process that has ended), which is no answer.

--- a/include/amberpin/agent/heartbeats.h
+++ b/include/amberpin/agent/heartbeats.h
@@ -13,7 +13,8 @@
     AMB_HEARTBEAT_HIGHER_TERM, /* it carries a later leader's fencing token; nothing was changed */
 };
 
-/* Processes a heartbeat on the leader and appends the commands for the response. */
+/* Processes a heartbeat on the leader, marks the starts that are due, and appends the other commands for the
+ * response. */
 enum amb_heartbeat_result amb_heartbeat_process(struct amb_node *node,
                                                 const struct amb_agent_heartbeat *heartbeat, amb_ms now,
                                                 struct amb_command_list *commands);
--- a/include/amberpin/agent/task_status.h
+++ b/include/amberpin/agent/task_status.h
@@ -16,8 +16,10 @@
                             struct amb_command_list *commands);
 
 /* Handles a task that is bound to the machine but missing from its heartbeat, which carries this leader's
- * fencing token. If that proves the task absent, unbinds it, or appends its start if it has yet to start. */
+ * fencing token. If that proves the task absent, unbinds it, or marks its start as due if it has yet to
+ * start.
+ */
 void amb_task_handle_unlisted(struct amb_node *node, struct amb_task *task,
-                              struct amb_heartbeat_evidence evidence, struct amb_command_list *commands);
+                              struct amb_heartbeat_evidence evidence);
 
 #endif
--- a/include/amberpin/fleet/agent_commands.h
+++ b/include/amberpin/fleet/agent_commands.h
@@ -22,10 +22,17 @@
 void amb_command_list_add(struct amb_command_list *list, enum amb_agent_command_kind kind,
                           const char *job_ref, uint32_t index, uint64_t attempt, double grace_s);
 
-/* Appends the start of a task that is bound to its machine, unless the task must not start now: this node may
- * not start tasks, the machine is being released, the job is being cancelled, or placements of its gang are
- * not durable yet. list: the commands of the response to the machine's latest heartbeat. */
-void amb_command_list_add_start(struct amb_node *node, struct amb_task *task, struct amb_command_list *list);
+/* Returns whether a task on the machine should be told to start in the response to the machine's newest
+ * heartbeat, provided that a fresh read of the state service confirms it. */
+bool amb_machine_has_start_due(const struct amb_node *node, const struct amb_machine *machine);
+
+/* Appends the starts that are due on the machine, if a fresh read that was sent after its newest heartbeat
+ * had arrived has been applied (amb_machine.start_read). list: the commands of the response to that
+ * heartbeat. A user may have been told that a job is cancelled before the agent sent the heartbeat, and such
+ * a read contains every cancellation of which a user was told before. This is the only function that orders a
+ * start. */
+void amb_command_list_add_starts(struct amb_node *node, struct amb_machine *machine,
+                                 struct amb_command_list *list);
 
 /* Returns whether every placement of the gang's attempt is durable. None of its tasks may start before. */
 bool amb_gang_placements_are_durable(const struct amb_job *job);
--- a/include/amberpin/fleet/fleet.h
+++ b/include/amberpin/fleet/fleet.h
@@ -21,6 +21,9 @@
     bool forgot_removed;           /* names were dropped from removed_machines for lack of room */
     uint32_t next_number;          /* amb_machine.number of the next machine */
     uint64_t heartbeats_processed; /* stored in amb_task.last_listed_in of each task that a heartbeat lists */
+    struct amb_deferred_response
+        *awaiting_read;            /* those that wait for a fresh read, in the order of its number */
+    uint64_t requested_start_read; /* number of the latest fresh read that was requested for a start */
     enum amb_zone_reachability zone_reachability[AMB_ZONES_MAX];
     amb_ms zone_last_unreachable_at[AMB_ZONES_MAX]; /* when last not AMB_ZONE_REACHABLE; 0: never */
     amb_ms last_heartbeat_at; /* when this node, leading or not, last received any heartbeat of an agent */
--- a/include/amberpin/model/machine.h
+++ b/include/amberpin/model/machine.h
@@ -34,6 +34,7 @@
     bool scale_in_logged;           /* the intent to release it is in the scale-in log */
     const char *release_reason;     /* static text; NULL: none given */
     uint64_t incarnation, sequence; /* those of the newest heartbeat */
+    uint64_t start_read;            /* number of the fresh read without which nothing is started on it */
     amb_ms exists_since;
     amb_ms last_heartbeat_at; /* 0: never */
     amb_ms last_response_at;  /* to a heartbeat; 0: never */
--- a/include/amberpin/model/task.h
+++ b/include/amberpin/model/task.h
@@ -32,10 +32,12 @@
     bool write_in_flight;                      /* it is PLACED, and its block is being written */
     bool stop_requested;                       /* a stop command was sent or is to be sent */
     bool interrupted;          /* it was running and was lost, so it is placed before others */
-    bool start_sent;           /* a run command was sent */
+    bool start_sent;           /* a run command was sent, in any response */
     bool inherited;            /* placed by an earlier leader, which may have sent a run command */
     uint8_t missed_heartbeats; /* heartbeats that should have listed it and did not */
     uint32_t index;            /* in its job */
+    bool start_due;            /* its machine's newest heartbeat shows that it must be told to start */
+    bool start_unconfirmed;    /* a run command was sent in the response to the newest heartbeat */
     uint64_t attempt;
     struct amb_machine *machine; /* borrowed; NULL: not placed */
     struct amb_task *next_on_machine, *prev_on_machine;
--- a/include/amberpin/watch/watch.h
+++ b/include/amberpin/watch/watch.h
@@ -19,6 +19,8 @@
     struct amb_fresh_read *next;
 };
 
+struct amb_fresh_read_call;
+
 struct amb_watch {
     bool loaded;              /* all keys have been listed since the process started */
     uint64_t known_revision;  /* all changes up to here have been applied */
@@ -33,17 +35,26 @@
     bool watch_in_flight;
     amb_ms watch_sent_at;
     struct amb_timer watch_timer;
-    /* Fresh reads: callers that wait for the next request, and callers that the request in flight answers. */
-    struct amb_fresh_read *queued_fresh_reads, *sent_fresh_reads;
-    bool fresh_read_in_flight;
-    amb_ms fresh_read_sent_at;
+    /* Fresh reads, which are numbered from 1 in the order in which they are sent: */
+    struct amb_fresh_read *queued_fresh_reads;    /* callers that wait for the next read */
+    struct amb_fresh_read_call *fresh_read_calls; /* owned; the reads in flight, newest first */
+    uint32_t fresh_reads_in_flight;
+    uint64_t last_fresh_read_sent;    /* number of the newest read; 0: none was sent */
+    uint64_t last_fresh_read_applied; /* the greatest number of a read whose changes have been applied */
     struct amb_timer fresh_read_timer;
 };
 
 /* Starts the listing, and then the watch from the listing's revision on. */
 void amb_watch_start(struct amb_node *node);
 /* Calls on_done once all changes up to some moment after this call have been applied. One request answers all
- * callers that asked before it was sent. */
+ * callers that asked before it was sent. A read that takes long does not hold up later ones. */
 void amb_watch_read_fresh(struct amb_node *node, amb_fresh_read_callback on_done, void *context);
+/* Returns the number of the next fresh read. It, and every read with a greater number, is sent after this
+ * call. */
+uint64_t amb_watch_next_fresh_read(const struct amb_node *node);
+/* Returns whether the changes of this fresh read, or of one with a greater number, have been applied. */
+bool amb_watch_has_fresh_read(const struct amb_node *node, uint64_t number);
+/* Returns whether a fresh read has been requested and not answered. */
+bool amb_watch_is_reading_fresh(const struct amb_node *node);
 
 #endif
--- a/lib/agent/agent_api.c
+++ b/lib/agent/agent_api.c
@@ -9,10 +9,18 @@
 #include <string.h>
 
 /* Returns whether a start may become due for the machine while its response is deferred. */
-static bool may_defer_response(const struct amb_node *node, const struct amb_machine *machine) {
+static bool may_await_start(const struct amb_node *node, const struct amb_machine *machine) {
     return node->controller.ready && machine->state == AMB_MACHINE_UP && !machine->release_pending;
 }
 
+/* Returns whether the response is to wait for a start, or for the fresh read that a start needs. One with too
+ * many other commands is sent at once; the next one carries the starts. */
+static bool should_defer(const struct amb_node *node, const struct amb_machine *machine,
+                         const struct amb_command_list *commands) {
+    if (!commands->count) return may_await_start(node, machine);
+    return commands->count <= AMB_DEFERRED_COMMANDS_MAX && amb_machine_has_start_due(node, machine);
+}
+
 static void respond_as_leader(struct amb_node *node, struct amb_http_req *request,
                               const struct amb_agent_heartbeat *heartbeat,
                               struct amb_command_list *commands) {
@@ -23,8 +31,8 @@
     if (!amb_election_is_leader(node) ||
         amb_heartbeat_process(node, heartbeat, amb_now(), commands) != AMB_HEARTBEAT_PROCESSED)
         amb_heartbeat_reply_redirect(node, request);
-    else if (is_newer && !commands->count && may_defer_response(node, machine))
-        amb_deferred_response_begin(node, machine, request);
+    else if (is_newer && should_defer(node, machine, commands))
+        amb_deferred_response_begin(node, machine, request, commands);
     else
         amb_heartbeat_reply_commands(request, node->election.term, commands);
 }
--- a/lib/agent/heartbeats.c
+++ b/lib/agent/heartbeats.c
@@ -39,8 +39,10 @@
     strcpy(machine->address, heartbeat->address);
 }
 
-static void update_newest_heartbeat(struct amb_machine *machine, const struct amb_agent_heartbeat *heartbeat,
-                                    amb_ms now) {
+/* A start in the response must rest on a read that is sent after the heartbeat has arrived. */
+static void update_newest_heartbeat(const struct amb_node *node, struct amb_machine *machine,
+                                    const struct amb_agent_heartbeat *heartbeat, amb_ms now) {
+    machine->start_read = amb_watch_next_fresh_read(node);
     machine->incarnation = heartbeat->incarnation;
     machine->sequence = heartbeat->sequence;
     machine->last_heartbeat_at = now;
@@ -59,13 +61,13 @@
 
 /* Handles the tasks that are bound to the machine but not listed in the heartbeat. */
 static void process_unlisted(struct amb_node *node, struct amb_machine *machine,
-                             struct amb_heartbeat_evidence evidence, struct amb_command_list *commands) {
+                             struct amb_heartbeat_evidence evidence) {
     for (struct amb_task *task = machine->tasks, *next; task; task = next) {
         next = task->next_on_machine;
         if (task->last_listed_in == node->fleet.heartbeats_processed) continue;
         task->last_listed_in = node->fleet.heartbeats_processed;
         uint32_t count_before = machine->task_count;
-        amb_task_handle_unlisted(node, task, evidence, commands);
+        amb_task_handle_unlisted(node, task, evidence);
         /* Tearing down a gang may have unbound other tasks of this machine, including `next`: restart from
          * the head. */
         if (machine->task_count != count_before) next = machine->tasks;
@@ -87,7 +89,7 @@
     machine->has_unrecorded_result = false;
     for (size_t i = 0; i < heartbeat->task_count; i++)
         amb_task_handle_listed(node, machine, &heartbeat->tasks[i], evidence, commands);
-    if (acknowledged) process_unlisted(node, machine, evidence, commands);
+    if (acknowledged) process_unlisted(node, machine, evidence);
 }
 
 /* ---- processing of a heartbeat ---- */
@@ -106,7 +108,7 @@
                   (unsigned long long)heartbeat->incarnation, (unsigned long long)heartbeat->sequence);
         return;
     }
-    update_newest_heartbeat(machine, heartbeat, now);
+    update_newest_heartbeat(node, machine, heartbeat, now);
     if (!node->controller.restored_at) { /* the records are still being restored */
         amb_heartbeat_stop_cancelled(node, heartbeat, commands);
         return;
--- a/lib/agent/lease_expiry.c
+++ b/lib/agent/lease_expiry.c
@@ -34,8 +34,8 @@
         .last_read_sent_at = node->watch.last_read_sent_at,
     };
     enum amb_absence absence = amb_absence_by_lease(&evidence);
-    bool reading = node->watch.queued_fresh_reads || node->watch.fresh_read_in_flight;
-    if (absence == AMB_ABSENCE_READ_NEEDED && !reading) amb_watch_read_fresh(node, ignore_result, NULL);
+    if (absence == AMB_ABSENCE_READ_NEEDED && !amb_watch_is_reading_fresh(node))
+        amb_watch_read_fresh(node, ignore_result, NULL);
     return absence;
 }
 
--- a/lib/agent/task_status.c
+++ b/lib/agent/task_status.c
@@ -171,7 +171,10 @@
     struct amb_job *job = amb_job_find(node, listed->job_ref);
     struct amb_task *task = find_task(job, listed);
     bool is_recorded = is_recorded_attempt(task, machine, listed);
-    if (is_recorded) task->last_listed_in = node->fleet.heartbeats_processed;
+    if (is_recorded) {
+        task->last_listed_in = node->fleet.heartbeats_processed;
+        task->start_due = false;
+    }
     if (listed->state != AMB_AGENT_TASK_EXITED) {
         if (is_recorded) handle_active(node, task, listed);
         /* An attempt that is not on record was abandoned. */
@@ -230,7 +233,7 @@
 
 /* Handles a bound task that is not listed. The heartbeat is newer than any response that carried the start,
  * so the task is not on its machine. */
-static void handle_bound(struct amb_node *node, struct amb_task *task, struct amb_command_list *commands) {
+static void handle_bound(struct amb_node *node, struct amb_task *task) {
     struct amb_job *job = task->job;
     if (task->stop_requested || job->state != AMB_JOB_QUEUED) {
         amb_task_unbind(node, task, "stop requested, and absent from its machine");
@@ -242,18 +245,19 @@
                       "an inherited task is absent");
         return;
     }
-    if (task->start_sent && ++task->missed_heartbeats >= MISSED_HEARTBEATS_MAX) {
+    if (task->start_unconfirmed && ++task->missed_heartbeats >= MISSED_HEARTBEATS_MAX) {
         handle_not_started(node, task);
         return;
     }
-    amb_command_list_add_start(node, task, commands);
+    task->start_unconfirmed = false;
+    task->start_due = true;
 }
 
 void amb_task_handle_unlisted(struct amb_node *node, struct amb_task *task,
-                              struct amb_heartbeat_evidence evidence, struct amb_command_list *commands) {
+                              struct amb_heartbeat_evidence evidence) {
     if (!amb_absence_is_proven(absence_by_heartbeat(evidence, task, NULL))) return;
     if (task->state == AMB_TASK_SEEN)
         handle_disappeared(node, task);
     else
-        handle_bound(node, task, commands);
+        handle_bound(node, task);
 }
--- a/lib/fleet/agent_commands.c
+++ b/lib/fleet/agent_commands.c
@@ -39,25 +39,54 @@
 /* Logs which read of the key-value store the start relies on. */
 static void log_start(const struct amb_node *node, const struct amb_task *task) {
     const struct amb_watch *watch = &node->watch;
-    amb_debug(
-        "task %s/%u attempt %llu on %s: start ordered, heartbeat received %lld ms ago, changes known up to "
-        "revision %llu, latest read sent %lld ms ago",
-        task->job->ref, task->index, (unsigned long long)task->attempt, task->machine->name,
-        (long long)(amb_now() - task->machine->last_heartbeat_at), (unsigned long long)watch->known_revision,
-        (long long)(amb_now() - watch->last_read_sent_at));
+    amb_debug("task %s/%u attempt %llu on %s: start ordered, placed %lld ms ago, heartbeat received %lld ms "
+              "ago, changes "
+              "known up to revision %llu, latest read sent %lld ms ago",
+              task->job->ref, task->index, (unsigned long long)task->attempt, task->machine->name,
+              (long long)(amb_now() - task->state_since),
+              (long long)(amb_now() - task->machine->last_heartbeat_at),
+              (unsigned long long)watch->known_revision, (long long)(amb_now() - watch->last_read_sent_at));
 }
 
-void amb_command_list_add_start(struct amb_node *node, struct amb_task *task, struct amb_command_list *list) {
-    struct amb_job *job = task->job;
-    const struct amb_machine *machine = task->machine;
-    if (!amb_election_may_start_tasks(node) || !node->controller.ready) return;
-    if (machine->release_pending || machine->state == AMB_MACHINE_RELEASING) return;
-    if (job->spec->kind == AMB_JOB_KIND_GANG && !amb_gang_placements_are_durable(job)) return;
-    if (amb_cancellation_is_pending(node, job)) return;
+/* Returns whether the task is known to be absent from its machine, and nothing prevents its start. */
+static bool is_startable(const struct amb_task *task) {
+    bool is_absent = task->start_due || (!task->start_sent && !task->inherited);
+    return task->state == AMB_TASK_BOUND && is_absent && !task->stop_requested &&
+           task->job->state == AMB_JOB_QUEUED;
+}
+
+static bool is_start_due(const struct amb_node *node, const struct amb_task *task) {
+    const struct amb_job *job = task->job;
+    if (!is_startable(task)) return false;
+    if (job->spec->kind == AMB_JOB_KIND_GANG && !amb_gang_placements_are_durable(job)) return false;
+    return !amb_cancellation_is_pending(node, job);
+}
+
+static bool may_start_tasks_on(const struct amb_node *node, const struct amb_machine *machine) {
+    return amb_election_may_start_tasks(node) && node->controller.ready && machine->token_acknowledged &&
+           !machine->release_pending && machine->state != AMB_MACHINE_RELEASING;
+}
+
+bool amb_machine_has_start_due(const struct amb_node *node, const struct amb_machine *machine) {
+    if (!may_start_tasks_on(node, machine)) return false;
+    for (const struct amb_task *task = machine->tasks; task; task = task->next_on_machine)
+        if (is_start_due(node, task)) return true;
+    return false;
+}
+
+static void add_start(struct amb_node *node, struct amb_task *task, struct amb_command_list *list) {
     if (is_full(list)) return; /* not marked as sent, so the next heartbeat's response carries it */
-    task->start_sent = true;
+    task->start_sent = task->start_unconfirmed = true;
+    task->start_due = false;
     log_start(node, task);
-    amb_command_list_add(list, AMB_COMMAND_RUN, job->ref, task->index, task->attempt, 0);
+    amb_command_list_add(list, AMB_COMMAND_RUN, task->job->ref, task->index, task->attempt, 0);
+}
+
+void amb_command_list_add_starts(struct amb_node *node, struct amb_machine *machine,
+                                 struct amb_command_list *list) {
+    if (!amb_watch_has_fresh_read(node, machine->start_read) || !may_start_tasks_on(node, machine)) return;
+    for (struct amb_task *task = machine->tasks; task; task = task->next_on_machine)
+        if (is_start_due(node, task)) add_start(node, task, list);
 }
 
 /* ---- command requests ---- */
--- a/lib/job/tasks.c
+++ b/lib/job/tasks.c
@@ -54,7 +54,8 @@
                    uint64_t attempt, enum amb_task_state state) {
     struct amb_job *job = task->job;
     task->attempt = attempt;
-    task->start_sent = task->stop_requested = task->write_in_flight = task->inherited = false;
+    task->start_sent = task->start_due = task->start_unconfirmed = false;
+    task->stop_requested = task->write_in_flight = task->inherited = false;
     task->missed_heartbeats = 0;
     link_to_machine(task, machine);
     amb_resources_add(&machine->used, &job->spec->task_resources, 1);
--- a/tests/agent/test_reports.c
+++ b/tests/agent/test_reports.c
@@ -222,6 +222,14 @@
 
 /* ---- deferred responses ---- */
 
+static const char CHANGES_PATH[] = "/follow"; /* a fresh read of all changes */
+
+/* Answers the open read with no change. Responses that wait for it are sent from the event loop. */
+static void answer_fresh_read(void) {
+    answer_change_list(open_call("GET", CHANGES_PATH), 100, NULL, AMB_JOB_QUEUED, 0);
+    fake_clock_advance(0);
+}
+
 /* Sends two heartbeats from m-1. Returns the second request, whose response is deferred. */
 static struct amb_http_req *defer_response(void) {
     struct sent_heartbeat heartbeat = {.machine = "m-1", .incarnation = 1, .sequence = 1, .token = TERM};
@@ -265,6 +273,9 @@
         if (rows[i].meanwhile == FENCED) node->election.role = AMB_ROLE_FENCED;
         if (rows[i].meanwhile == CLOSED) request->connection = NULL;
         fake_clock_advance(400);
+        if ((find_call("GET", CHANGES_PATH) != NULL) != (rows[i].starts > 0))
+            fail_msg("%s: reads of changes", rows[i].what);
+        if (rows[i].starts) answer_fresh_read();
         if (latest_reply()->status != rows[i].status)
             fail_msg("%s: answered %d", rows[i].what, latest_reply()->status);
         if (count_replied_commands("run") != rows[i].starts || task->start_sent != rows[i].sent)
--- a/tests/election/test_leadership.c
+++ b/tests/election/test_leadership.c
@@ -195,6 +195,10 @@
         node->peers.count = 1; /* has never confirmed this node */
         send_heartbeat(
             (struct sent_heartbeat){.machine = "m-1", .incarnation = 1, .sequence = 1, .token = TERM});
+        struct fake_call *read = find_call("GET", "/follow"); /* the fresh read that a start waits for */
+        if ((read != NULL) != (rows[i].starts > 0)) fail_msg("%s: reads of changes", rows[i].what);
+        if (read) answer_change_list(read, 100, NULL, AMB_JOB_QUEUED, 0);
+        fake_clock_advance(0);
         fake_clock_advance(400); /* an empty reply may be held back for this long */
         if (latest_reply()->status != rows[i].status || count_replied_commands("run") != rows[i].starts)
             fail_msg("%s: %d, %zu starts", rows[i].what, latest_reply()->status,
--- a/tests/model/test_absence_proofs.c
+++ b/tests/model/test_absence_proofs.c
@@ -47,7 +47,7 @@
         node->controller.leader_since = now;
         assert_true(deliver_heartbeat(name, 1, 1, rows[i].token, now, &seen, 1));
         node->watch.last_read_sent_at = rows[i].read < 0 ? 0 : now + rows[i].read;
-        node->watch.fresh_read_in_flight = true; /* suppresses the read that would be requested */
+        node->watch.fresh_reads_in_flight = 1; /* suppresses the read that would be requested */
         int zone = amb_catalog_find_or_add_zone(&node->catalog, "a");
         node->lease_proxy.zone_covered_at[zone] = rows[i].lease_proxy < 0 ? 0 : now + rows[i].lease_proxy;
         amb_fleet_tick(node, now + rows[i].silent);
@@ -121,7 +121,7 @@
         machine->last_response_at = now - rows[i].answered;
         node->controller.leader_since = now - 20000;
         node->watch.last_read_sent_at = now - rows[i].read;
-        node->watch.fresh_read_in_flight = true; /* suppresses calls */
+        node->watch.fresh_reads_in_flight = 1; /* suppresses calls */
         node->peers.count = 1;
         node->peers.list[0].fenced_term = rows[i].fenced_term;
         node->peers.list[0].fenced_at = now - rows[i].fenced;
@@ -310,7 +310,7 @@
         struct amb_machine *machine = amb_machine_get(node, "m-1", false);
         machine->state_since = now - rows[i].since;
         node->controller.restored_at = now - rows[i].loaded;
-        node->watch.fresh_read_in_flight = true;
+        node->watch.fresh_reads_in_flight = 1;
         amb_fleet_tick(node, now);
         if (machine->release_pending != rows[i].released) fail_msg("%s", rows[i].what);
     }
--- a/tests/node/test_fleet_limits.c
+++ b/tests/node/test_fleet_limits.c
@@ -251,16 +251,22 @@
     enum { TASKS = 3, ROOM = 2 };
     struct amb_agent_command list[ROOM];
     struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_SERVICE, TASKS);
-    machine_up("m-1", 0);
+    struct amb_machine *machine = machine_up("m-1", 0);
     for (uint32_t i = 0; i < TASKS; i++) bind_task(job, i, "m-1", i + 1);
     struct amb_command_list first = {list, ROOM, 0};
-    for (uint32_t i = 0; i < TASKS; i++) amb_command_list_add_start(node, &job->tasks[i], &first);
+    amb_command_list_add_starts(node, machine, &first);
     assert_int_equal(first.count, ROOM);
-    for (uint32_t i = 0; i < TASKS; i++) assert_int_equal(job->tasks[i].start_sent, i < ROOM);
+    uint32_t left = TASKS, sent = 0;
+    for (uint32_t i = 0; i < TASKS; i++) {
+        sent += job->tasks[i].start_sent;
+        if (!job->tasks[i].start_sent) left = i;
+    }
+    assert_int_equal(sent, ROOM);
     struct amb_command_list next = {list, ROOM, 0};
-    amb_command_list_add_start(node, &job->tasks[ROOM], &next);
+    amb_command_list_add_starts(node, machine, &next);
     assert_int_equal(next.count, 1);
-    assert_true(job->tasks[ROOM].start_sent);
+    assert_int_equal(next.commands[0].index, left);
+    assert_true(job->tasks[left].start_sent);
 }
 
 /* ---- the fleet size that operators state ---- */
--- a/tests/scenarios/test_standin.c
+++ b/tests/scenarios/test_standin.c
@@ -52,6 +52,9 @@
     "slow boots",
     "failed boots",
     "frequent polling",
+    "cancelled early",
+    "changes arrive late",
+    "refused by peers",
 };
 _Static_assert(ROWS(names) == SIM_FAULT_KINDS, "a name for each kind of fault");
 
--- a/tests/standin/agents.c
+++ b/tests/standin/agents.c
@@ -190,7 +190,8 @@
     return task;
 }
 
-static void run_task(struct sim_machine *machine, const struct agent_command *command, amb_ms issued_at) {
+static void run_task(struct sim_machine *machine, const struct agent_command *command,
+                     const struct sim_command_origin *origin) {
     const struct sim_task *known = task_find(machine, command->ref, command->index);
     if (known && known->attempt == command->attempt) return;
     bool busy = known && known->state != AMB_AGENT_TASK_EXITED;
@@ -204,7 +205,7 @@
     task->state = AMB_AGENT_TASK_FETCHING;
     task->image_ready_at = world.now + sim_cloud_timing.fetch;
     world.result.start_commands++;
-    sim_check_start_command(sim_find_job(command->ref), issued_at);
+    sim_check_start_command(sim_find_job(command->ref), origin);
     sim_check_recovery_order(machine, task);
     if (busy)
         exit_task(machine, task, AMB_EXIT_ATTEMPT_CONFLICT);
@@ -227,14 +228,14 @@
 }
 
 static void execute_commands(struct sim_machine *machine, const struct amb_cbor_item *commands,
-                             amb_ms issued_at) {
+                             const struct sim_command_origin *origin) {
     for (size_t i = 0; i < amb_cbor_list_length(commands); i++) {
         const struct amb_cbor_item *item = amb_cbor_list_item(commands, i),
                                    *verb = amb_cbor_map_get(item, "verb");
         struct agent_command command;
         parse_command(item, &command);
         if (amb_cbor_equals(verb, "run"))
-            run_task(machine, &command, issued_at);
+            run_task(machine, &command, origin);
         else if (amb_cbor_equals(verb, "halt"))
             stop_task(machine, &command);
         else
@@ -288,13 +289,14 @@
 }
 
 static amb_ms apply_reply(struct sim_machine *machine, const struct sent_heartbeat *sent,
-                          const struct amb_cbor_item *body, uint64_t token, amb_ms issued_at) {
+                          const struct amb_cbor_item *body, uint64_t token, const struct sim_call *call) {
     if (token > machine->token) machine->changed = true;
     machine->token = token;
     machine->lease_from = sent->at;
     amb_ms waited = world.now - sent->at;
     uint32_t before = world.result.start_commands;
-    execute_commands(machine, amb_cbor_map_get(body, "orders"), issued_at);
+    const struct sim_command_origin origin = {sent->at, call->answered_at, call->answered_by_production};
+    execute_commands(machine, amb_cbor_map_get(body, "orders"), &origin);
     if (waited > world.result.longest_long_poll_ms) world.result.longest_long_poll_ms = waited;
     if (waited > MIN_LONG_POLL_MS) world.result.long_poll_starts += world.result.start_commands - before;
     amb_ms next = machine->changed ? MIN_CHANGE_HEARTBEAT_MS : draw_heartbeat_interval();
@@ -310,7 +312,7 @@
     char name[AMB_NAME_SIZE] = "";
     amb_ms next = RETRY_INTERVAL_MS;
     if (renews_lease(machine, sent, call, body, &token)) {
-        next = apply_reply(machine, sent, body, token, call->answered_at);
+        next = apply_reply(machine, sent, body, token, call);
     } else if (call->status == 421 &&
                amb_cbor_copy_string(amb_cbor_map_get(body, "harbour"), name, sizeof name)) {
         machine->node = name[1] - '0';
@@ -431,7 +433,8 @@
             status = 409;
         } else {
             machine->token = token;
-            execute_commands(machine, amb_cbor_map_get(body, "orders"), world.now);
+            execute_commands(machine, amb_cbor_map_get(body, "orders"),
+                             &(struct sim_command_origin){.issued_at = world.now});
         }
     }
     struct amb_buf buffer = {0};
--- a/tests/standin/explore.c
+++ b/tests/standin/explore.c
@@ -80,6 +80,9 @@
     "SIM_SLOW_BOOTS",
     "SIM_FAILED_BOOTS",
     "SIM_FREQUENT_POLLING",
+    "SIM_CANCEL_EARLY",
+    "SIM_SLOW_CHANGES",
+    "SIM_REFUSE_PEERS",
 };
 _Static_assert(sizeof fault_kind_names / sizeof *fault_kind_names == SIM_FAULT_KINDS,
                "a name for each kind of fault");
--- a/tests/standin/faults.c
+++ b/tests/standin/faults.c
@@ -121,7 +121,8 @@
 }
 
 static bool targets_node(enum sim_fault_kind kind) {
-    return kind <= SIM_CUT_ALL_BUT_AGENTS || kind == SIM_PAUSE_NODE;
+    return kind <= SIM_CUT_ALL_BUT_AGENTS || kind == SIM_PAUSE_NODE || kind == SIM_SLOW_CHANGES ||
+           kind == SIM_REFUSE_PEERS;
 }
 
 static int busiest_machine(void) {
--- a/tests/standin/network.c
+++ b/tests/standin/network.c
@@ -100,6 +100,15 @@
     } /* else the timeout notifies the caller */
 }
 
+static bool is_change_read(const struct sim_call *call) {
+    return call->destination == SIM_TO_STORE && !strncmp(call->path, "/follow", strlen("/follow"));
+}
+
+static bool is_refused_by_peer(const struct sim_call *call) {
+    return call->destination == SIM_TO_PEER &&
+           (sim_fault_active(SIM_REFUSE_PEERS, call->from) || sim_fault_active(SIM_REFUSE_PEERS, call->node));
+}
+
 static amb_ms draw_latency(const struct sim_call *call) {
     if (call->destination == SIM_TO_STORE && sim_fault_active(SIM_SLOW_STORE, -1))
         return sim_random_between(50, 1000);
@@ -107,14 +116,21 @@
     return sim_random_between(1, 4);
 }
 
+static amb_ms answer_latency(const struct sim_call *call) {
+    enum { SLOW_CHANGES_MS = 400 };
+    bool is_slow = is_change_read(call) && sim_fault_active(SIM_SLOW_CHANGES, call->from);
+    return draw_latency(call) + (is_slow ? SLOW_CHANGES_MS : 0);
+}
+
 void sim_call_answer(struct sim_call *call, int status, struct amb_buf *body) {
     call->status = status;
     if (body) call->answer = *body;
     call->answered = true;
     call->answered_at = world.now;
+    call->answered_by_production = call->node >= 0 && world.nodes[call->node].production;
     sim_digest_answer(call);
     int previous = sim_switch_to(-1);
-    amb_timer_set_after(&call->reply_timer, draw_latency(call), deliver_answer, call);
+    amb_timer_set_after(&call->reply_timer, answer_latency(call), deliver_answer, call);
     sim_switch_to(previous);
 }
 
@@ -135,7 +151,7 @@
     struct sim_node *node = &world.nodes[call->node];
     const struct sim_server *server =
         call->destination == SIM_TO_API ? &node->api_server : &node->peer_server;
-    if (!node->alive || !server->handler) {
+    if (!node->alive || !server->handler || is_refused_by_peer(call)) {
         if (call->on_reply || call->on_done) sim_call_answer(call, 0, NULL); /* connection refused */
         return;
     }
--- a/tests/standin/recorder.c
+++ b/tests/standin/recorder.c
@@ -156,7 +156,8 @@
 static void check_unknown_message(const struct sim_call *call) {
     if (world.nodes[call->from].production)
         sim_report_violation("the production version sent %s", call->path);
-    if (world.nodes[call->node].production && call->status != 404)
+    bool is_refused = !call->status; /* the process has ended */
+    if (world.nodes[call->node].production && call->status != 404 && !is_refused)
         sim_report_violation("the production version answered %s with %d", call->path, call->status);
 }
 
--- a/tests/standin/rules.c
+++ b/tests/standin/rules.c
@@ -204,8 +204,9 @@
 static void record_answer(struct sim_job *job, bool done, bool cancelled) {
     enum sim_reported_state before = job->reported;
     job->answered_at = world.now;
-    if (!job->accepted) world.result.accepted++;
-    if (!job->accepted && job->dependency_count) world.result.dependents++;
+    bool is_new = !job->accepted;
+    if (is_new) world.result.accepted++;
+    if (is_new && job->dependency_count) world.result.dependents++;
     job->accepted = true;
     if (done) record_done(job);
     if (cancelled) record_cancelled(job);
@@ -213,6 +214,7 @@
                     : before > SIM_REPORTED_ACCEPTED ? before
                                                      : SIM_REPORTED_ACCEPTED;
     if (job->reported == before) return;
+    if (is_new && !done && !cancelled) sim_job_accepted(job);
     sim_start_poll_burst(job);
     sim_poll_pipeline(job);
 }
@@ -244,13 +246,24 @@
            world.size->heartbeat_ms;
 }
 
-void sim_check_start_command(const struct sim_job *job, amb_ms issued) {
+/* A user who was told of the cancellation before the agent sent the heartbeat must not see a start in
+ * response to it. The production version does not guarantee this. */
+static void check_heartbeat_order(const struct sim_job *job, amb_ms confirmed_at, amb_ms heartbeat_sent_at) {
+    if (heartbeat_sent_at <= confirmed_at) return;
+    world.result.late_commands++;
+    sim_report_violation("started_cancelled: %s, ordered in response to a heartbeat sent %lld ms after its "
+                         "cancellation was confirmed",
+                         job->spec.ref, (long long)(heartbeat_sent_at - confirmed_at));
+}
+
+void sim_check_start_command(const struct sim_job *job, const struct sim_command_origin *origin) {
     amb_ms confirmed_at = sim_cancel_confirmed_at(job);
-    if (!confirmed_at || issued <= confirmed_at) return;
-    amb_ms delay = issued - confirmed_at;
+    if (!confirmed_at || origin->issued_at <= confirmed_at) return;
+    amb_ms delay = origin->issued_at - confirmed_at;
     world.result.commands_after_cancel++;
     if (delay > world.result.latest_command_after_cancel_ms)
         world.result.latest_command_after_cancel_ms = delay;
+    if (!origin->production) check_heartbeat_order(job, confirmed_at, origin->heartbeat_sent_at);
     if (delay > max_command_delay())
         sim_report_violation("started_cancelled: %s, ordered %lld ms after its cancellation was confirmed",
                              job->spec.ref, (long long)delay);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -71,6 +71,9 @@
     SIM_SLOW_BOOTS,     /* Machines take two to six times as long to boot. */
     SIM_FAILED_BOOTS,   /* Percent of rented machines that never boot. */
     SIM_FREQUENT_POLLING, /* Users poll eight times as often. */
+    SIM_CANCEL_EARLY,     /* Percent of jobs whose users cancel them within 0.4 s of their acceptance. */
+    SIM_SLOW_CHANGES,     /* Changes that the state service reports to a node arrive 0.4 s late. */
+    SIM_REFUSE_PEERS,     /* Connections between a node and its peers are refused. */
     SIM_FAULT_KINDS,
 };
 
@@ -130,14 +133,15 @@
     uint32_t refused;                          /* invalid jobs that were refused */
     uint32_t commands_after_cancel;            /* start commands sent after the cancellation was confirmed */
     uint32_t starts_after_cancel;              /* task starts after it, also by commands sent before it */
-    amb_ms latest_command_after_cancel_ms;     /* longest time from a confirmation to a start command */
-    uint32_t dependents;                       /* accepted jobs with dependencies */
-    uint32_t dependents_done;                  /* those of them that are done */
-    uint32_t dependents_cancelled;             /* cancelled with a dependency, not by their own user */
-    uint32_t unknown_dependency_refusals; /* refused submissions with a dependency that was never accepted */
-    uint32_t size_refusals;               /* transactions over the lowered size limits of the state service */
-    uint32_t rate_refusals;               /* transactions over its rate of changes */
-    amb_ms upgraded_at;                   /* when all nodes ran the present version, simulated clock */
+    uint32_t late_commands; /* those of them in response to a heartbeat sent after the confirmation */
+    amb_ms latest_command_after_cancel_ms; /* longest time from a confirmation to a start command */
+    uint32_t dependents;                   /* accepted jobs with dependencies */
+    uint32_t dependents_done;              /* those of them that are done */
+    uint32_t dependents_cancelled;         /* cancelled with a dependency, not by their own user */
+    uint32_t unknown_dependency_refusals;  /* refused submissions with a dependency that was never accepted */
+    uint32_t size_refusals;          /* transactions over the lowered size limits of the state service */
+    uint32_t rate_refusals;          /* transactions over its rate of changes */
+    amb_ms upgraded_at;              /* when all nodes ran the present version, simulated clock */
     uint32_t refused_for_memory;     /* submissions answered 503 by a node without memory for another job */
     size_t peak_job_table_bytes;     /* largest job table of a node, in bytes */
     uint32_t duty_rent_calls;        /* rental requests sent by duty holders, repetitions included */
--- a/tests/standin/users.c
+++ b/tests/standin/users.c
@@ -14,7 +14,7 @@
        MAX_HUNG_MACHINES = 8,
        DEFAULT_BURST_JOBS = 8 /* unless the fault sets the number */
 };
-enum { MAX_CANCEL_AT_COMPLETION_DELAY_MS = 500 };
+enum { MAX_CANCEL_AT_COMPLETION_DELAY_MS = 500, MAX_EARLY_CANCEL_DELAY_MS = 400 };
 enum { POLLING_FACTOR = 8, FAILING_JOB_PERIOD = 4, UNGUARANTEED_RUN_S = 4 };
 
 int sim_team_limit(void) {
@@ -141,6 +141,11 @@
     abort();
 }
 
+void sim_job_accepted(struct sim_job *job) {
+    if (!job->cancel_requested && sim_fault_hits(SIM_CANCEL_EARLY))
+        sim_schedule_request(job, SIM_CANCEL, -1, sim_random_between(0, MAX_EARLY_CANCEL_DELAY_MS));
+}
+
 /* Queries to all nodes, resubmissions and sometimes a cancellation, within milliseconds. */
 void sim_start_poll_burst(struct sim_job *job) {
     if (!sim_fault_active(SIM_POLL_BURST, -1)) return;
--- a/tests/standin/world.h
+++ b/tests/standin/world.h
@@ -81,6 +81,7 @@
     struct amb_timer delivery_timer, reply_timer, timeout_timer;
     int status;
     amb_ms answered_at;
+    bool answered_by_production; /* by a node of the production version */
     struct amb_buf answer;
     void (*on_reply)(struct sim_call *call); /* for calls of agents and users */
     void *user;
@@ -108,6 +109,12 @@
 struct sim_job;
 struct sim_machine;
 
+struct sim_command_origin {   /* where an agent's command comes from */
+    amb_ms heartbeat_sent_at; /* of the heartbeat that it answers; 0: it came in a request of its own */
+    amb_ms issued_at;
+    bool production; /* issued by a node of the production version */
+};
+
 struct sim_task {
     struct sim_job *job;
     struct sim_machine *machine;  /* as of the latest scan for gangs */
@@ -326,6 +333,7 @@
 int sim_team_limit(void); /* GPUs */
 bool sim_all_tasks_done(const struct sim_job *job);
 void sim_schedule_request(struct sim_job *job, enum sim_request request, int node, amb_ms delay);
+void sim_job_accepted(struct sim_job *job);     /* when a user is first told so */
 void sim_start_poll_burst(struct sim_job *job); /* if the fault SIM_POLL_BURST is active */
 void sim_job_completed(struct sim_job *job);    /* called when its last task is done */
 void sim_cancel_burst(int count, amb_ms hang);
@@ -377,7 +385,8 @@
 void sim_check_task(const struct sim_machine *machine, const struct sim_task *task);  /* on every tick */
 void sim_check_answer(const struct sim_call *call, const struct amb_cbor_item *body); /* answer to a user */
 void sim_check_liveness(void); /* once a second: states that must not last */
-void sim_check_start_command(const struct sim_job *job, amb_ms issued_at);
+/* Called when a machine receives a start command. */
+void sim_check_start_command(const struct sim_job *job, const struct sim_command_origin *origin);
 void sim_check_reply(const struct sim_node *node, const struct amb_http_req *request, int status,
                      int retry_after_s);   /* reply of a node */
 uint32_t sim_open_jobs(void);              /* number of accepted arrays and gangs that are not done */
--- a/tests/support/node_fixture.c
+++ b/tests/support/node_fixture.c
@@ -58,6 +58,14 @@
     return 0;
 }
 
+/* Adds the starts as the response does that waits for a fresh read. */
+static void apply_fresh_read_and_add_starts(const char *name, struct amb_command_list *list) {
+    struct amb_machine *machine = amb_machine_get(node, name, false);
+    if (!machine) return;
+    node->watch.last_fresh_read_sent = node->watch.last_fresh_read_applied = machine->start_read;
+    amb_command_list_add_starts(node, machine, list);
+}
+
 bool deliver_heartbeat(const char *machine, uint64_t incarnation, uint64_t sequence, uint64_t token,
                        amb_ms now, const struct amb_agent_task *tasks, size_t task_count) {
     struct amb_agent_heartbeat heartbeat = {.incarnation = incarnation,
@@ -71,7 +79,10 @@
     strcpy(heartbeat.zone, "a");
     heartbeat.tasks = (struct amb_agent_task *)tasks;
     struct amb_command_list list = {reply_commands, ROWS(reply_commands), 0};
+    const struct amb_machine *known = amb_machine_get(node, machine, false);
+    bool is_newer = !known || amb_heartbeat_is_newer(&heartbeat, known);
     enum amb_heartbeat_result result = amb_heartbeat_process(node, &heartbeat, now, &list);
+    if (is_newer) apply_fresh_read_and_add_starts(machine, &list);
     reply_command_count = list.count;
     return result == AMB_HEARTBEAT_PROCESSED;
 }
