--- a/include/amberpin/election/election.h
+++ b/include/amberpin/election/election.h
@@ -46,8 +46,8 @@
 /* Whether the leadership lease is certainly valid, so that decisions may be made and recorded. */
 bool amb_election_may_act(const struct amb_node *node);
 
-/* Whether tasks may be started. This requires that the store is probably reachable as well: placements
- * recorded by an earlier leader may have been cancelled without this node hearing of it. */
+/* Whether tasks may be started, apart from the fresh read that each start needs (agent_commands.h). This
+ * requires that the store is probably reachable as well: no response should wait for a read that fails. */
 bool amb_election_may_start_tasks(const struct amb_node *node);
 
 /* The member that agents should be redirected to; NULL: no leader is known, or the known one was not heard
--- a/include/amberpin/election/state_machine.h
+++ b/include/amberpin/election/state_machine.h
@@ -128,8 +128,8 @@
 /* Whether the leadership lease is certainly valid at `now`. */
 bool amb_election_has_valid_lease(const struct amb_election *election, amb_ms now);
 
-/* Whether the last renewal succeeded in time. If not, the store may be unreachable, and cancellations
- * recorded there may be unknown to this node. */
+/* Whether the last renewal succeeded in time. If not, the store may be unreachable, so that a read would fail
+ * and cancellations recorded there may be unknown to this node. */
 bool amb_election_has_recent_renewal(const struct amb_election *election, amb_ms now);
 
 #endif
--- a/tests/agent/test_start_reads.c
+++ b/tests/agent/test_start_reads.c
@@ -147,6 +147,46 @@
     for (uint32_t i = 0; i < MACHINES; i++) assert_true(job->tasks[i].start_sent);
 }
 
+/* However many tasks an array has, reads take no more than a quarter of the leader's requests to the state
+ * service, and every machine gets its starts with the first response. */
+static void reads_of_a_large_array_are_bounded(void **state) {
+    (void)state;
+    enum { MACHINES = 2500, TASKS_PER_MACHINE = 10, ANSWER_MS = 5, STORE_RPS = 800, PERIOD_MS = 1000 };
+    const size_t most_reads = STORE_RPS / 2 / 4; /* half of the requests are the leader's */
+    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_ARRAY, MACHINES * TASKS_PER_MACHINE);
+    node->settings.store_rps = STORE_RPS;
+    amb_store_init(&node->store, &node->settings, 1000);
+    amb_store_set_leadership(&node->store, true);
+    node->election.ttl = 100 * LEADER_TTL_MS; /* its renewals are not part of this test */
+    for (uint32_t machine = 0; machine < MACHINES; machine++) {
+        char name[AMB_NAME_SIZE];
+        snprintf(name, sizeof name, "m-%u", machine);
+        machine_up(name, 0);
+        for (uint32_t i = 0; i < TASKS_PER_MACHINE; i++)
+            bind_task(job, machine * TASKS_PER_MACHINE + i, name, 1);
+    }
+    uint32_t reported = 0;
+    size_t sent = 0; /* within the period */
+    for (int ms = 0; ms < PERIOD_MS; ms++) {
+        for (; reported < MACHINES * (uint32_t)(ms + 1) / PERIOD_MS; reported++) {
+            char name[AMB_NAME_SIZE];
+            snprintf(name, sizeof name, "m-%u", reported);
+            report(name);
+        }
+        if (ms % ANSWER_MS == 0 && open_reads()) answer_oldest_read();
+        sent = fake_count_sent_calls(CHANGES_PATH);
+        fake_clock_advance(1);
+    }
+    assert_in_range(sent, 10, most_reads);
+    fake_clock_advance(100);
+    while (open_reads()) {
+        answer_oldest_read();
+        fake_clock_advance(100);
+    }
+    assert_int_equal(count_replies(), MACHINES);
+    for (uint32_t i = 0; i < MACHINES * TASKS_PER_MACHINE; i++) assert_true(job->tasks[i].start_sent);
+}
+
 /* Guards against a start that was ordered, or not counted, because a read took long: the next one is sent
  * although it is in flight, and its answer serves all that have waited. */
 static void a_slow_read_does_not_hold_up_later_ones(void **state) {
@@ -427,6 +467,7 @@
         TEST(an_earlier_read_allows_no_start),
         TEST(a_quiet_fleet_reads_nothing),
         TEST(one_read_answers_all_that_wait),
+        TEST(reads_of_a_large_array_are_bounded),
         TEST(a_slow_read_does_not_hold_up_later_ones),
         TEST(reads_in_flight_are_bounded),
         TEST(an_older_page_undoes_nothing),
