Bound what all waiting responses keep, not each one: many ended tasks held back a machine's starts

Cause: a response with more than eight commands besides its starts did not wait for a fresh read and went out without starts. A machine on which more than eight tasks ended between two reports was told to start nothing, report after report, until fewer did.

Change: the commands that all waiting responses keep have a share of the memory (1/64, 4,608 commands at 27 MB); only a response that finds no room there goes at once. Before, 4,000 machines could keep 3 MB.

The fixture now frees the replies that its teardown sends.

--- a/include/amberpin/fleet/deferred_responses.h
+++ b/include/amberpin/fleet/deferred_responses.h
@@ -16,13 +16,12 @@
 
 struct amb_node;
 
-/* The most commands other than starts that a deferred response keeps, to bound the memory for all machines.
- */
-enum { AMB_DEFERRED_COMMANDS_MAX = 8 };
+/* Returns whether there is memory for one more deferred response that keeps this many commands. */
+bool amb_deferred_response_has_room(const struct amb_node *node, size_t commands);
 
-/* Defers the response to the machine's newest heartbeat. commands: those that it carries besides starts, at
- * most AMB_DEFERRED_COMMANDS_MAX, which are copied. If a start is due the response waits for a fresh read,
- * else for a start. The machine must not have a deferred response yet. */
+/* Defers the response to the machine's newest heartbeat. commands: those that it carries besides starts, for
+ * which there must be room; they are copied. If a start is due the response waits for a fresh read, else for
+ * a start. The machine must not have a deferred response yet. */
 void amb_deferred_response_begin(struct amb_node *node, struct amb_machine *machine,
                                  struct amb_http_req *request, const struct amb_command_list *commands);
 
--- a/include/amberpin/fleet/fleet.h
+++ b/include/amberpin/fleet/fleet.h
@@ -24,6 +24,7 @@
     struct amb_deferred_response
         *awaiting_read;            /* those that wait for a fresh read, in the order of its number */
     uint64_t requested_start_read; /* number of the latest fresh read that was requested for a start */
+    size_t deferred_commands;      /* commands that all deferred responses keep */
     enum amb_zone_reachability zone_reachability[AMB_ZONES_MAX];
     amb_ms zone_last_unreachable_at[AMB_ZONES_MAX]; /* when last not AMB_ZONE_REACHABLE; 0: never */
     amb_ms last_heartbeat_at; /* when this node, leading or not, last received any heartbeat of an agent */
--- a/include/amberpin/node/memory_budget.h
+++ b/include/amberpin/node/memory_budget.h
@@ -30,6 +30,8 @@
 size_t amb_memory_max_peer_message_bytes(const struct amb_settings *settings);
 /* Bytes for the names of removed machines, of which the latest are kept. */
 size_t amb_memory_removed_machines_bytes(const struct amb_settings *settings);
+/* The most commands that all deferred responses to agents may keep (fleet/deferred_responses.h). */
+size_t amb_memory_max_deferred_commands(const struct amb_settings *settings);
 /* The most machines that fit: each takes its entry in the leader's table, its connection and the images that
  * peers have reported for it. */
 size_t amb_memory_max_machines(const struct amb_settings *settings);
--- a/lib/agent/agent_api.c
+++ b/lib/agent/agent_api.c
@@ -13,12 +13,12 @@
     return node->controller.ready && machine->state == AMB_MACHINE_UP && !machine->release_pending;
 }
 
-/* Returns whether the response is to wait for a start, or for the fresh read that a start needs. One with too
- * many other commands is sent at once; the next one carries the starts. */
+/* Returns whether the response is to wait for a start, or for the fresh read that a start needs. If there is
+ * no room for its other commands it is sent at once; the next one carries the starts. */
 static bool should_defer(const struct amb_node *node, const struct amb_machine *machine,
                          const struct amb_command_list *commands) {
     if (!commands->count) return may_await_start(node, machine);
-    return commands->count <= AMB_DEFERRED_COMMANDS_MAX && amb_machine_has_start_due(node, machine);
+    return amb_deferred_response_has_room(node, commands->count) && amb_machine_has_start_due(node, machine);
 }
 
 static void respond_as_leader(struct amb_node *node, struct amb_http_req *request,
--- a/lib/fleet/deferred_responses.c
+++ b/lib/fleet/deferred_responses.c
@@ -2,6 +2,7 @@
 
 #include "amberpin/base/log.h"
 #include "amberpin/fleet/heartbeat_response.h"
+#include "amberpin/node/memory_budget.h"
 #include "amberpin/node/node.h"
 
 #include <stdlib.h>
@@ -45,6 +46,7 @@
 static void discard(struct amb_machine *machine) {
     struct amb_deferred_response *deferred = machine->deferred_response;
     leave_read_queue(deferred);
+    deferred->node->fleet.deferred_commands -= deferred->command_count;
     amb_timer_stop(&deferred->timer);
     free(deferred);
     machine->deferred_response = NULL;
@@ -160,18 +162,24 @@
     amb_timer_set_after(&deferred->timer, amb_seconds_to_ms(DEFERRED_SHARE * bound_s), on_timer, deferred);
 }
 
-static struct amb_deferred_response *deferred_new(const struct amb_command_list *commands) {
+bool amb_deferred_response_has_room(const struct amb_node *node, size_t commands) {
+    return node->fleet.deferred_commands + commands <= amb_memory_max_deferred_commands(&node->settings);
+}
+
+static struct amb_deferred_response *deferred_new(struct amb_node *node,
+                                                  const struct amb_command_list *commands) {
     size_t commands_size = commands->count * sizeof *commands->commands;
     struct amb_deferred_response *deferred = amb_alloc(sizeof *deferred + commands_size);
+    deferred->node = node;
     deferred->command_count = commands->count;
+    node->fleet.deferred_commands += commands->count;
     memcpy(deferred->commands, commands->commands, commands_size);
     return deferred;
 }
 
 void amb_deferred_response_begin(struct amb_node *node, struct amb_machine *machine,
                                  struct amb_http_req *request, const struct amb_command_list *commands) {
-    struct amb_deferred_response *deferred = deferred_new(commands);
-    deferred->node = node;
+    struct amb_deferred_response *deferred = deferred_new(node, commands);
     deferred->machine = machine;
     deferred->request = request;
     deferred->received_at = amb_now();
--- a/lib/node/memory_budget.c
+++ b/lib/node/memory_budget.c
@@ -11,6 +11,7 @@
 static const double DRAFT_SHARE = 1.0 / 16;
 static const double MACHINE_SHARE = 1.0 / 4;
 static const double REMOVED_MACHINES_SHARE = 1.0 / 64;
+static const double DEFERRED_COMMANDS_SHARE = 1.0 / 64;
 static const double RESPONSE_SHARE = 1.0 / 8;
 static const double REQUEST_INPUT_SHARE = 1.0 / 16;
 static const double PEER_INPUT_SHARE = 1.0 / 8;
@@ -166,6 +167,10 @@
     return share_of(settings, PEER_MESSAGE_SHARE) / (peers * (size_t)MESSAGES_PER_PEER);
 }
 
+size_t amb_memory_max_deferred_commands(const struct amb_settings *settings) {
+    return share_of(settings, DEFERRED_COMMANDS_SHARE) / sizeof(struct amb_agent_command);
+}
+
 size_t amb_memory_removed_machines_bytes(const struct amb_settings *settings) {
     return share_of(settings, REMOVED_MACHINES_SHARE);
 }
--- a/tests/agent/test_start_reads.c
+++ b/tests/agent/test_start_reads.c
@@ -6,6 +6,10 @@
 #include "fake_http.h"
 #include "leader_fixture.h"
 
+#include "amberpin/kvstore/client.h"
+#include "amberpin/kvstore/token_budget.h"
+#include "amberpin/node/memory_budget.h"
+
 static const char CHANGES_PATH[] = "/follow"; /* a fresh read of all changes */
 enum { FIRST_REVISION = 100, CANCEL_REVISION = 150, LATE_MS = 2400 /* of 4 s, the agent's timeout */ };
 
@@ -28,6 +32,11 @@
                                                   .task_state = "running"});
 }
 
+static struct amb_http_req *report_stopped(const char *machine, uint32_t tasks) {
+    return send_heartbeat((struct sent_heartbeat){
+        .machine = machine, .incarnation = 1, .sequence = ++sequence, .token = TERM, .stopped_tasks = tasks});
+}
+
 static size_t open_reads(void) {
     return fake_count_open_calls("GET", CHANGES_PATH);
 }
@@ -41,6 +50,13 @@
     answer_read(open_call("GET", CHANGES_PATH));
 }
 
+static void answer_remaining_reads(void) {
+    while (amb_watch_is_reading_fresh(node)) {
+        fake_clock_advance(10);
+        if (open_reads()) answer_oldest_read();
+    }
+}
+
 static void fail_oldest_read(int status) {
     fake_answer(open_call("GET", CHANGES_PATH), status, NULL);
     fake_clock_advance(0);
@@ -178,15 +194,45 @@
         fake_clock_advance(1);
     }
     assert_in_range(sent, 10, most_reads);
-    fake_clock_advance(100);
-    while (open_reads()) {
-        answer_oldest_read();
-        fake_clock_advance(100);
-    }
+    answer_remaining_reads();
     assert_int_equal(count_replies(), MACHINES);
     for (uint32_t i = 0; i < MACHINES * TASKS_PER_MACHINE; i++) assert_true(job->tasks[i].start_sent);
 }
 
+/* Starts that become due one at a time, each just after the read before was answered, share no reads. Users
+ * and the leadership lease must find request tokens all the same. */
+static void reads_leave_requests_for_users_and_renewals(void **state) {
+    (void)state;
+    enum { MACHINES = 4000, STORE_RPS = 200, PERIOD_S = 10, EVERY_MS = 3, RENEWAL_MS = 250 };
+    const size_t own_rps = STORE_RPS / 2;                       /* half of the requests are the leader's */
+    const size_t most_reads = own_rps / 4 * PERIOD_S + own_rps; /* and a burst of one second's worth */
+    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_ARRAY, MACHINES);
+    node->settings.store_rps = STORE_RPS;
+    amb_store_init(&node->store, &node->settings, 1000);
+    amb_store_set_leadership(&node->store, true);
+    node->election.ttl = 100 * LEADER_TTL_MS;
+    for (uint32_t i = 0; i < MACHINES; i++) {
+        char name[AMB_NAME_SIZE];
+        snprintf(name, sizeof name, "m-%u", i);
+        machine_up(name, 0);
+        bind_task(job, i, name, 1);
+    }
+    for (uint32_t ms = 0, reported = 0; ms < PERIOD_S * 1000; ms++) {
+        char name[AMB_NAME_SIZE];
+        snprintf(name, sizeof name, "m-%u", reported);
+        if (ms % EVERY_MS == 0 && reported++ < MACHINES) report(name);
+        if (ms % EVERY_MS == EVERY_MS - 1 && open_reads()) answer_oldest_read();
+        if (!amb_store_can_write_for_user(&node->store, 1, 0)) fail_msg("no token for a user at %u ms", ms);
+        if (ms % RENEWAL_MS == 0) {
+            amb_store_renew_lease(&node->store, 7, NULL, NULL);
+            answer_lease(open_call("POST", "/leases/7/extend"), 7);
+        }
+        fake_clock_advance(1);
+    }
+    assert_in_range(fake_count_sent_calls(CHANGES_PATH), 10, most_reads);
+    answer_remaining_reads();
+}
+
 /* Guards against a start that was ordered, or not counted, because a read took long: the next one is sent
  * although it is in flight, and its answer serves all that have waited. */
 static void a_slow_read_does_not_hold_up_later_ones(void **state) {
@@ -346,6 +392,43 @@
     assert_int_equal(count_replied_commands("run"), 1);
 }
 
+/* Guards against a machine that is told to start nothing for as long as many of its tasks end in each period.
+ */
+static void many_other_commands_do_not_hold_back_starts(void **state) {
+    (void)state;
+    static const uint32_t counts[] = {1, 9, 30, AMB_COMMANDS_MAX - 1};
+    for (size_t i = 0; i < ROWS(counts); i++) {
+        fixture_reset();
+        bound_task();
+        report_stopped("m-1", counts[i]);
+        answer_oldest_read();
+        if (count_replied_commands("clear") != counts[i] || count_replied_commands("run") != 1)
+            fail_msg("%u tasks have ended: %zu cleared, %zu started", counts[i],
+                     count_replied_commands("clear"), count_replied_commands("run"));
+    }
+}
+
+/* A response that the memory for deferred commands has no room for is sent at once, without its start. */
+static void deferred_commands_have_a_bound(void **state) {
+    (void)state;
+    enum { MACHINES = 100, STOPPED = 200 };
+    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_ARRAY, MACHINES);
+    const size_t most = amb_memory_max_deferred_commands(&node->settings);
+    for (uint32_t i = 0; i < MACHINES; i++) {
+        char name[AMB_NAME_SIZE];
+        snprintf(name, sizeof name, "m-%u", i);
+        machine_up(name, 0);
+        bind_task(job, i, name, 1);
+        report_stopped(name, STOPPED);
+        assert_true(node->fleet.deferred_commands <= most);
+    }
+    assert_int_equal(count_replies(), MACHINES - most / STOPPED);
+    assert_int_equal(count_replied_commands("run"), 0);
+    answer_remaining_reads();
+    assert_int_equal(count_replies(), MACHINES);
+    assert_int_equal(node->fleet.deferred_commands, 0);
+}
+
 /* ---- what happens while a response waits ---- */
 
 enum meanwhile {
@@ -468,6 +551,7 @@
         TEST(a_quiet_fleet_reads_nothing),
         TEST(one_read_answers_all_that_wait),
         TEST(reads_of_a_large_array_are_bounded),
+        TEST(reads_leave_requests_for_users_and_renewals),
         TEST(a_slow_read_does_not_hold_up_later_ones),
         TEST(reads_in_flight_are_bounded),
         TEST(an_older_page_undoes_nothing),
@@ -476,6 +560,8 @@
         TEST(only_starts_that_were_sent_are_missed),
         TEST(stops_do_not_need_a_read),
         TEST(other_commands_are_sent_with_the_start),
+        TEST(many_other_commands_do_not_hold_back_starts),
+        TEST(deferred_commands_have_a_bound),
         TEST(the_response_is_decided_after_the_read),
         TEST(a_newer_heartbeat_needs_a_read_of_its_own),
         TEST(a_gang_that_loses_a_member_is_not_started),
--- a/tests/election/test_lease_proxies.c
+++ b/tests/election/test_lease_proxies.c
@@ -57,7 +57,8 @@
         answer_committed(begin_lease_proxy(), 60);
         node->election.highest_term = rows[i].highest_term;
         node->lease_proxy.renewed_at = amb_now() - rows[i].renewed;
-        send_heartbeat((struct sent_heartbeat){"m-1", rows[i].zone, 1, 1, rows[i].token, NULL, 0, NULL});
+        send_heartbeat((struct sent_heartbeat){
+            .machine = "m-1", .zone = rows[i].zone, .incarnation = 1, .sequence = 1, .token = rows[i].token});
         if (latest_reply()->status != rows[i].status)
             fail_msg("%s: answered %d", rows[i].what, latest_reply()->status);
     }
--- a/tests/job/test_cancellation.c
+++ b/tests/job/test_cancellation.c
@@ -35,7 +35,7 @@
     job->state = AMB_JOB_CANCELLED;
     amb_placement_log_restore(node, BLOCK_KEY, value, 61);
     amb_buf_free(&buffer);
-    send_heartbeat((struct sent_heartbeat){"m-1", "a", 1, 1, TERM, "wk-1/0", 1, "running"});
+    send_heartbeat(heartbeat_of_running_task());
     if (count_replied_commands("halt") != 1) fail_msg("no stop command was sent");
 }
 
--- a/tests/model/test_absence_proofs.c
+++ b/tests/model/test_absence_proofs.c
@@ -233,7 +233,7 @@
 static void nothing_is_concluded_before_the_records_are_read(void **state) {
     (void)state;
     node->controller.restored_at = 0;
-    struct sent_heartbeat heartbeat = {"m-1", "a", 1, 1, TERM, "wk-1/0", 1, "running"};
+    struct sent_heartbeat heartbeat = heartbeat_of_running_task();
     send_heartbeat(heartbeat);
     assert_int_equal(latest_reply()->status, 200);
     if (count_replied_commands("halt")) fail_msg("a task that is not known yet is told to stop");
--- a/tests/peer/test_heartbeats.c
+++ b/tests/peer/test_heartbeats.c
@@ -59,7 +59,7 @@
         start_peer_heartbeats();
         struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_SERVICE, 1);
         bind_task(job, 0, "m-1", 1);
-        struct sent_heartbeat sent = {"m-1", "a", 1, 1, TERM, "wk-1/0", 1, "running"};
+        struct sent_heartbeat sent = heartbeat_of_running_task();
         send_heartbeat(sent);
         char cancelled[64];
         snprintf(cancelled, sizeof cancelled, "[\"wk-1\",%lld,61]", (long long)amb_wall_ms());
--- a/tests/support/leader_fixture.c
+++ b/tests/support/leader_fixture.c
@@ -100,8 +100,9 @@
     fake_answer_all_lost();
     fake_http_reset();
     fake_clock_reset();
+    int result = teardown(state); /* which replies to deferred requests */
     clear_replies();
-    return teardown(state);
+    return result;
 }
 
 void fixture_reset(void) {
@@ -196,6 +197,39 @@
 
 /* ---- agents' heartbeats, over HTTP ---- */
 
+static void write_task(struct amb_buf *buffer, const char *task, uint64_t attempt, const char *state) {
+    amb_cbor_write_string(buffer, "leg"), amb_cbor_write_string(buffer, task);
+    amb_cbor_write_string(buffer, "try"), amb_cbor_write_uint(buffer, attempt);
+    amb_cbor_write_string(buffer, "stance"), amb_cbor_write_string(buffer, state);
+}
+
+static void write_tasks(struct amb_buf *buffer, const struct sent_heartbeat *heartbeat) {
+    amb_cbor_write_string(buffer, "legs");
+    amb_cbor_write_list(buffer, heartbeat->stopped_tasks + (heartbeat->task ? 1 : 0));
+    if (heartbeat->task) {
+        amb_cbor_write_map(buffer, 3);
+        write_task(buffer, heartbeat->task, heartbeat->attempt, heartbeat->task_state);
+    }
+    for (uint32_t i = 0; i < heartbeat->stopped_tasks; i++) {
+        char name[AMB_NAME_SIZE];
+        snprintf(name, sizeof name, "wk-9/%u", i);
+        amb_cbor_write_map(buffer, 4);
+        write_task(buffer, name, 1, "exited");
+        amb_cbor_write_string(buffer, "cause"), amb_cbor_write_string(buffer, "stopped");
+    }
+}
+
+struct sent_heartbeat heartbeat_of_running_task(void) {
+    return (struct sent_heartbeat){.machine = "m-1",
+                                   .zone = "a",
+                                   .incarnation = 1,
+                                   .sequence = 1,
+                                   .token = TERM,
+                                   .task = "wk-1/0",
+                                   .attempt = 1,
+                                   .task_state = "running"};
+}
+
 struct amb_http_req *send_heartbeat(struct sent_heartbeat heartbeat) {
     struct amb_buf buffer = {0};
     amb_cbor_write_map(&buffer, 9);
@@ -208,13 +242,7 @@
     amb_cbor_write_string(&buffer, "watch"), amb_cbor_write_uint(&buffer, heartbeat.incarnation);
     amb_cbor_write_string(&buffer, "tally"), amb_cbor_write_uint(&buffer, heartbeat.sequence);
     amb_cbor_write_string(&buffer, "baton"), amb_cbor_write_uint(&buffer, heartbeat.token);
-    amb_cbor_write_string(&buffer, "legs"), amb_cbor_write_list(&buffer, heartbeat.task ? 1 : 0);
-    if (heartbeat.task) {
-        amb_cbor_write_map(&buffer, 3);
-        amb_cbor_write_string(&buffer, "leg"), amb_cbor_write_string(&buffer, heartbeat.task);
-        amb_cbor_write_string(&buffer, "try"), amb_cbor_write_uint(&buffer, heartbeat.attempt);
-        amb_cbor_write_string(&buffer, "stance"), amb_cbor_write_string(&buffer, heartbeat.task_state);
-    }
+    write_tasks(&buffer, &heartbeat);
     struct amb_http_req *request = new_request("POST", "/hello", &buffer);
     assert_true(amb_agent_handle_request(node, request));
     return request;
--- a/tests/support/leader_fixture.h
+++ b/tests/support/leader_fixture.h
@@ -64,8 +64,11 @@
     const char *task; /* NULL: the heartbeat lists no task */
     uint64_t attempt;
     const char *task_state;
+    uint32_t stopped_tasks; /* listed besides: this many tasks of wk-9, which have exited */
 };
 
+/* The first heartbeat of m-1 in zone a, with this leader's token, which lists wk-1/0 as running. */
+struct sent_heartbeat heartbeat_of_running_task(void);
 struct amb_http_req *send_heartbeat(struct sent_heartbeat heartbeat);
 /* Number of commands with this verb in a body, and in the latest reply. */
 size_t count_commands_in(const struct amb_cbor_item *body, const char *verb);
