One private header for the heads of CBOR items

Cause: the major types and first bytes of CBOR stood in cbor_item.c and in cbor_reader.c, the reader's sizes as bare numbers.

Change: lib/codec/cbor_head.h names them once. Two messages that the formatter had broken into short lines are joined.

--- a/lib/codec/cbor_item.c
+++ b/lib/codec/cbor_item.c
@@ -2,6 +2,7 @@
 
 #include "amberpin/base/util.h"
 #include "amberpin/codec/cbor_check.h"
+#include "cbor_head.h"
 
 #include <cbor.h>
 #include <math.h>
@@ -12,49 +13,31 @@
     return amb_cbor_is_well_formed(data, len) ? data : NULL;
 }
 
-/* ---- heads (RFC 8949, section 3) ---- */
-
-enum major {
-    MAJOR_UINT = 0,
-    MAJOR_NEGINT = 1,
-    MAJOR_BYTES = 2,
-    MAJOR_TEXT = 3,
-    MAJOR_LIST = 4,
-    MAJOR_MAP = 5,
-    MAJOR_TAG = 6,
-    MAJOR_SIMPLE = 7,
-};
-
-/* Low bits of a head's first byte: the argument itself, the size of the argument that follows, or no
- * argument. */
-enum { INFO_BITS = 5, INFO_MASK = 31, INFO_ARGUMENT_1 = 24, INFO_OPEN_ENDED = 31 };
-
-enum { BYTE_FALSE = 0xf4, BYTE_TRUE = 0xf5, BYTE_NULL = 0xf6, BYTE_UNDEFINED = 0xf7, BYTE_BREAK = 0xff };
-enum { BYTE_HALF = 0xf9, BYTE_SINGLE = 0xfa, BYTE_DOUBLE = 0xfb };
+/* ---- heads ---- */
 
 struct head {
-    enum major major;
+    enum cbor_major major;
     bool is_open_ended;
     uint64_t argument; /* value, length, number of items or pairs, tag, or the bits of a float */
     const unsigned char *end;
 };
 
 static struct head read_head(const unsigned char *at) {
-    struct head head = {.major = (enum major)(*at >> INFO_BITS)};
-    int info = *at++ & INFO_MASK;
-    if (info == INFO_OPEN_ENDED)
+    struct head head = {.major = (enum cbor_major)(*at >> CBOR_INFO_BITS)};
+    int info = *at++ & CBOR_INFO_MASK;
+    if (info == CBOR_INFO_OPEN_ENDED)
         head.is_open_ended = true;
-    else if (info < INFO_ARGUMENT_1)
+    else if (info < CBOR_INFO_ARGUMENT_1)
         head.argument = (uint64_t)info;
     else
-        for (size_t bytes = (size_t)1 << (info - INFO_ARGUMENT_1); bytes; bytes--)
+        for (size_t bytes = (size_t)1 << (info - CBOR_INFO_ARGUMENT_1); bytes; bytes--)
             head.argument = head.argument << 8 | *at++;
     head.end = at;
     return head;
 }
 
-static bool is_major(const struct amb_cbor_item *item, enum major major) {
-    return item && item->head >> INFO_BITS == (int)major;
+static bool is_major(const struct amb_cbor_item *item, enum cbor_major major) {
+    return item && item->head >> CBOR_INFO_BITS == (int)major;
 }
 
 /* ---- ends of items ---- */
@@ -64,11 +47,11 @@
 static uint64_t skip_shallow(const struct head *head, const unsigned char **at) {
     *at = head->end;
     switch (head->major) {
-    case MAJOR_BYTES:
-    case MAJOR_TEXT: *at += head->argument; return 0;
-    case MAJOR_LIST: return head->argument;
-    case MAJOR_MAP: return 2 * head->argument;
-    case MAJOR_TAG: return 1;
+    case CBOR_MAJOR_BYTES:
+    case CBOR_MAJOR_TEXT: *at += head->argument; return 0;
+    case CBOR_MAJOR_LIST: return head->argument;
+    case CBOR_MAJOR_MAP: return 2 * head->argument;
+    case CBOR_MAJOR_TAG: return 1;
     default: return 0;
     }
 }
@@ -85,7 +68,7 @@
             left = items_left[--depth];
             continue;
         }
-        if (*at == BYTE_BREAK) {
+        if (*at == CBOR_BYTE_BREAK) {
             at++;
             if (!depth) return at;
             left = items_left[--depth];
@@ -124,30 +107,31 @@
 /* ---- lists and maps ---- */
 
 bool amb_cbor_is_map(const struct amb_cbor_item *item) {
-    return is_major(item, MAJOR_MAP);
+    return is_major(item, CBOR_MAJOR_MAP);
 }
 
 bool amb_cbor_is_list(const struct amb_cbor_item *item) {
-    return is_major(item, MAJOR_LIST);
+    return is_major(item, CBOR_MAJOR_LIST);
 }
 
-static struct amb_cbor_cursor begin(const struct amb_cbor_item *item, enum major major, uint64_t items_each) {
+static struct amb_cbor_cursor begin(const struct amb_cbor_item *item, enum cbor_major major,
+                                    uint64_t items_each) {
     if (!is_major(item, major)) return (struct amb_cbor_cursor){NULL, 0, false};
     struct head head = read_head(&item->head);
     return (struct amb_cbor_cursor){head.end, items_each * head.argument, head.is_open_ended};
 }
 
 struct amb_cbor_cursor amb_cbor_list_begin(const struct amb_cbor_item *list) {
-    return begin(list, MAJOR_LIST, 1);
+    return begin(list, CBOR_MAJOR_LIST, 1);
 }
 
 struct amb_cbor_cursor amb_cbor_map_begin(const struct amb_cbor_item *map) {
-    return begin(map, MAJOR_MAP, 2);
+    return begin(map, CBOR_MAJOR_MAP, 2);
 }
 
 const struct amb_cbor_item *amb_cbor_next(struct amb_cbor_cursor *cursor) {
     const unsigned char *at = cursor->next;
-    if (cursor->is_open_ended ? *at == BYTE_BREAK : !cursor->items_left) return NULL;
+    if (cursor->is_open_ended ? *at == CBOR_BYTE_BREAK : !cursor->items_left) return NULL;
     if (!cursor->is_open_ended) cursor->items_left--;
     cursor->next = skip_item(at);
     return (const struct amb_cbor_item *)at;
@@ -176,7 +160,7 @@
 };
 
 static struct text read_text(const struct amb_cbor_item *item) {
-    if (!is_major(item, MAJOR_TEXT)) return (struct text){NULL, 0};
+    if (!is_major(item, CBOR_MAJOR_TEXT)) return (struct text){NULL, 0};
     struct head head = read_head(&item->head);
     if (head.is_open_ended) return (struct text){NULL, 0};
     return (struct text){(const char *)head.end, (size_t)head.argument};
@@ -224,7 +208,7 @@
 /* ---- numbers and simple values ---- */
 
 bool amb_cbor_get_uint(const struct amb_cbor_item *item, uint64_t *out) {
-    if (!is_major(item, MAJOR_UINT)) return false;
+    if (!is_major(item, CBOR_MAJOR_UINT)) return false;
     *out = read_head(&item->head).argument;
     return true;
 }
@@ -260,15 +244,15 @@
 bool amb_cbor_get_number(const struct amb_cbor_item *item, double *out) {
     if (!item) return false;
     struct head head = read_head(&item->head);
-    if (head.major == MAJOR_UINT)
+    if (head.major == CBOR_MAJOR_UINT)
         *out = (double)head.argument;
-    else if (head.major == MAJOR_NEGINT)
+    else if (head.major == CBOR_MAJOR_NEGINT)
         *out = -1.0 - (double)head.argument;
-    else if (item->head == BYTE_HALF)
+    else if (item->head == CBOR_BYTE_HALF)
         *out = half_to_double(head.argument);
-    else if (item->head == BYTE_SINGLE)
+    else if (item->head == CBOR_BYTE_SINGLE)
         *out = single_to_double(head.argument);
-    else if (item->head == BYTE_DOUBLE)
+    else if (item->head == CBOR_BYTE_DOUBLE)
         *out = bits_to_double(head.argument);
     else
         return false;
@@ -276,11 +260,11 @@
 }
 
 bool amb_cbor_get_bool(const struct amb_cbor_item *item, bool *out) {
-    if (!item || (item->head != BYTE_FALSE && item->head != BYTE_TRUE)) return false;
-    *out = item->head == BYTE_TRUE;
+    if (!item || (item->head != CBOR_BYTE_FALSE && item->head != CBOR_BYTE_TRUE)) return false;
+    *out = item->head == CBOR_BYTE_TRUE;
     return true;
 }
 
 bool amb_cbor_is_absent(const struct amb_cbor_item *item) {
-    return !item || item->head == BYTE_NULL || item->head == BYTE_UNDEFINED;
+    return !item || item->head == CBOR_BYTE_NULL || item->head == CBOR_BYTE_UNDEFINED;
 }
--- a/lib/codec/cbor_reader.c
+++ b/lib/codec/cbor_reader.c
@@ -1,11 +1,10 @@
 #include "amberpin/codec/cbor_reader.h"
 
+#include "cbor_head.h"
+
 #include <math.h>
 #include <string.h>
 
-enum major { MAJOR_UINT = 0, MAJOR_TEXT = 3, MAJOR_LIST = 4, MAJOR_MAP = 5, MAJOR_SIMPLE = 7 };
-enum { BYTE_FALSE = 0xf4, BYTE_TRUE = 0xf5, BYTE_NULL = 0xf6, BYTE_DOUBLE = 0xfb };
-
 struct amb_cbor_reader amb_cbor_reader_init(const void *data, size_t len) {
     const unsigned char *at = data;
     return (struct amb_cbor_reader){at, at + len, false};
@@ -34,28 +33,28 @@
 }
 
 /* Reads the head of a value of this major type and returns its argument: the value itself, or a length. */
-static uint64_t read_head(struct amb_cbor_reader *reader, enum major major) {
+static uint64_t read_head(struct amb_cbor_reader *reader, enum cbor_major major) {
     int byte = peek_byte(reader);
-    if (byte < 0 || byte >> 5 != (int)major) return fail(reader);
-    int info = byte & 31;
+    if (byte < 0 || byte >> CBOR_INFO_BITS != (int)major) return fail(reader);
+    int info = byte & CBOR_INFO_MASK;
     reader->at++;
-    if (info < 24) return (uint64_t)info;
-    if (info > 27) return fail(reader); /* indefinite, or not CBOR */
-    return read_big_endian(reader, (size_t)1 << (info - 24));
+    if (info < CBOR_INFO_ARGUMENT_1) return (uint64_t)info;
+    if (info > CBOR_INFO_ARGUMENT_8) return fail(reader); /* indefinite, or not CBOR */
+    return read_big_endian(reader, (size_t)1 << (info - CBOR_INFO_ARGUMENT_1));
 }
 
 /* Fails if more is claimed than the bytes left can hold, so that no caller allocates memory for it. */
-static size_t read_count(struct amb_cbor_reader *reader, enum major major, size_t bytes_each) {
+static size_t read_count(struct amb_cbor_reader *reader, enum cbor_major major, size_t bytes_each) {
     uint64_t count = read_head(reader, major);
     return count <= bytes_left(reader) / bytes_each ? (size_t)count : (size_t)fail(reader);
 }
 
 size_t amb_cbor_read_map(struct amb_cbor_reader *reader) {
-    return read_count(reader, MAJOR_MAP, 2);
+    return read_count(reader, CBOR_MAJOR_MAP, 2);
 }
 
 size_t amb_cbor_read_list(struct amb_cbor_reader *reader) {
-    return read_count(reader, MAJOR_LIST, 1);
+    return read_count(reader, CBOR_MAJOR_LIST, 1);
 }
 
 static bool is_ascii(const unsigned char *text, size_t len) {
@@ -65,7 +64,7 @@
 }
 
 struct amb_cbor_text amb_cbor_read_text(struct amb_cbor_reader *reader) {
-    uint64_t len = read_head(reader, MAJOR_TEXT);
+    uint64_t len = read_head(reader, CBOR_MAJOR_TEXT);
     if (len > bytes_left(reader) || !is_ascii(reader->at, (size_t)len)) len = fail(reader);
     struct amb_cbor_text text = {(const char *)reader->at, (size_t)len};
     reader->at += len;
@@ -73,18 +72,18 @@
 }
 
 uint64_t amb_cbor_read_uint(struct amb_cbor_reader *reader) {
-    return read_head(reader, MAJOR_UINT);
+    return read_head(reader, CBOR_MAJOR_UINT);
 }
 
 bool amb_cbor_read_bool(struct amb_cbor_reader *reader) {
     int byte = peek_byte(reader);
-    if (byte != BYTE_TRUE && byte != BYTE_FALSE) return fail(reader);
+    if (byte != CBOR_BYTE_TRUE && byte != CBOR_BYTE_FALSE) return fail(reader);
     reader->at++;
-    return byte == BYTE_TRUE;
+    return byte == CBOR_BYTE_TRUE;
 }
 
 bool amb_cbor_read_if_null(struct amb_cbor_reader *reader) {
-    if (peek_byte(reader) != BYTE_NULL) return false;
+    if (peek_byte(reader) != CBOR_BYTE_NULL) return false;
     reader->at++;
     return true;
 }
@@ -99,20 +98,20 @@
 
 double amb_cbor_read_number(struct amb_cbor_reader *reader) {
     double value =
-        peek_byte(reader) == BYTE_DOUBLE ? read_double(reader) : (double)amb_cbor_read_uint(reader);
+        peek_byte(reader) == CBOR_BYTE_DOUBLE ? read_double(reader) : (double)amb_cbor_read_uint(reader);
     return isfinite(value) ? value : (double)fail(reader);
 }
 
 /* Skips a value, but only the head of a list or map. Returns the number of nested values that follow. */
 static size_t skip_shallow(struct amb_cbor_reader *reader) {
     int byte = peek_byte(reader);
-    switch (byte < 0 ? -1 : byte >> 5) {
-    case MAJOR_UINT: amb_cbor_read_uint(reader); return 0;
-    case MAJOR_TEXT: amb_cbor_read_text(reader); return 0;
-    case MAJOR_LIST: return amb_cbor_read_list(reader);
-    case MAJOR_MAP: return 2 * amb_cbor_read_map(reader);
-    case MAJOR_SIMPLE:
-        if (byte == BYTE_DOUBLE)
+    switch (byte < 0 ? -1 : byte >> CBOR_INFO_BITS) {
+    case CBOR_MAJOR_UINT: amb_cbor_read_uint(reader); return 0;
+    case CBOR_MAJOR_TEXT: amb_cbor_read_text(reader); return 0;
+    case CBOR_MAJOR_LIST: return amb_cbor_read_list(reader);
+    case CBOR_MAJOR_MAP: return 2 * amb_cbor_read_map(reader);
+    case CBOR_MAJOR_SIMPLE:
+        if (byte == CBOR_BYTE_DOUBLE)
             read_double(reader);
         else if (!amb_cbor_read_if_null(reader))
             amb_cbor_read_bool(reader);
@@ -156,11 +155,11 @@
 static size_t json_shallow_size(struct amb_cbor_reader *reader, size_t *within) {
     int byte = peek_byte(reader);
     *within = 0;
-    switch (byte < 0 ? -1 : byte >> 5) {
-    case MAJOR_UINT: return json_uint_size(amb_cbor_read_uint(reader));
-    case MAJOR_TEXT: return json_text_size(amb_cbor_read_text(reader));
-    case MAJOR_LIST: *within = amb_cbor_read_list(reader); return JSON_BRACKETS;
-    case MAJOR_MAP: *within = 2 * amb_cbor_read_map(reader); return JSON_BRACKETS;
+    switch (byte < 0 ? -1 : byte >> CBOR_INFO_BITS) {
+    case CBOR_MAJOR_UINT: return json_uint_size(amb_cbor_read_uint(reader));
+    case CBOR_MAJOR_TEXT: return json_text_size(amb_cbor_read_text(reader));
+    case CBOR_MAJOR_LIST: *within = amb_cbor_read_list(reader); return JSON_BRACKETS;
+    case CBOR_MAJOR_MAP: *within = 2 * amb_cbor_read_map(reader); return JSON_BRACKETS;
     default: skip_shallow(reader); return JSON_NUMBER;
     }
 }
--- a/lib/fleet/agent_commands.c
+++ b/lib/fleet/agent_commands.c
@@ -40,8 +40,7 @@
 static void log_start(const struct amb_node *node, const struct amb_task *task) {
     const struct amb_watch *watch = &node->watch;
     amb_debug("task %s/%u attempt %llu on %s: start ordered, placed %lld ms ago, heartbeat received %lld ms "
-              "ago, changes "
-              "known up to revision %llu, latest read sent %lld ms ago",
+              "ago, changes known up to revision %llu, latest read sent %lld ms ago",
               task->job->ref, task->index, (unsigned long long)task->attempt, task->machine->name,
               (long long)(amb_now() - task->state_since),
               (long long)(amb_now() - task->machine->last_heartbeat_at),
--- a/tests/standin/large_day.c
+++ b/tests/standin/large_day.c
@@ -135,8 +135,7 @@
     double day_s = (double)(length + result.overtime_ms) / 1000;
     printf("seed %llu: %u accepted, %u done, %u cancelled, %u starts, %u left open, %d machines at most, "
            "overtime %.0f s, %u late returns, %.1f fresh reads per second, %u at most; run took %.0f s of "
-           "processor "
-           "time; %s\n",
+           "processor time; %s\n",
            (unsigned long long)seed, result.accepted, result.done, result.cancelled, result.starts,
            result.open_jobs, result.peak_machines, (double)result.overtime_ms / 1000,
            result.late_return_calls, result.fresh_reads / day_s, result.most_fresh_reads,
