--- a/tests/standin/explore.c
+++ b/tests/standin/explore.c
@@ -2,8 +2,10 @@
  * rule, it is reduced by removing faults and loads while a rule is still violated, and printed as a table row
  * for a test.
  *
- *     explore [-j PROCESSES] [-s small|grown|fleet|slow] [-t SECONDS] [-d] [-v] FIRST LAST
+ *     explore [-j PROCESSES] [-s small|grown|fleet|slow] [-t SECONDS] [-c] [-d] [-v] FIRST LAST
  *
+ * With -c users cancel many jobs soon after submitting them, while changes reach some nodes late and peers
+ * refuse connections.
  * With -v it prints a line for every scenario. The digest at the end of the line covers all requests and
  * answers, so that two versions of the library that behave alike print the same line for the same seed. With
  * -d single-holder duties are on, either from the start or switched on later, and in some scenarios switched
@@ -21,7 +23,9 @@
 
 enum {
     MAX_CLUSTERED_FAULTS = 10,
-    MAX_DRAWN_FAULTS = MAX_CLUSTERED_FAULTS + 3, /* plus an upgrade, lowered limits and duties */
+    LATE_CHANGE_FAULTS = 3,
+    /* Plus an upgrade, lowered limits and duties, and early cancellations with late changes. */
+    MAX_DRAWN_FAULTS = MAX_CLUSTERED_FAULTS + 3 + 1 + LATE_CHANGE_FAULTS,
     MAX_CLUSTERS = 3,
     MIN_CLUSTER_START_MS = 20000,
     MAX_CLUSTER_START_MS = 120000,
@@ -95,7 +99,7 @@
 struct options {
     size_t size;
     int processes;
-    bool verbose, duties;
+    bool verbose, duties, cancellations;
     time_t deadline; /* no scenario starts after this time; 0: no limit */
     uint64_t first, last;
 };
@@ -213,6 +217,24 @@
         fault->lasts = random_between(&state, MIN_CLUSTER_START_MS, MAX_CLUSTER_START_MS);
 }
 
+/* Early cancellations from the beginning on, and faults that keep nodes from hearing of them. */
+static void draw_cancellations(struct drawn_scenario *scenario, const struct sim_size *size, uint64_t seed) {
+    static const enum sim_fault_kind kinds[] = {SIM_SLOW_CHANGES, SIM_REFUSE_PEERS, SIM_CUT_PEERS};
+    uint64_t state = seed * 0x9e3779b97f4a7c15u + 0x3141592;
+    scenario->faults[scenario->plan.fault_count++] =
+        (struct sim_fault){.kind = SIM_CANCEL_EARLY,
+                           .at = MIN_CLUSTER_START_MS / 2,
+                           .lasts = MAX_CLUSTER_START_MS,
+                           .which = (int)random_between(&state, 20, 80)};
+    for (int i = 0; i < LATE_CHANGE_FAULTS; i++)
+        scenario->faults[scenario->plan.fault_count++] = (struct sim_fault){
+            .kind = kinds[random_between(&state, 0, sizeof kinds / sizeof *kinds - 1)],
+            .at = random_between(&state, MIN_CLUSTER_START_MS / 2, MAX_CLUSTER_START_MS),
+            .lasts = draw_duration(&state, size),
+            .which = draw_target(&state, SIM_SLOW_CHANGES, size),
+        };
+}
+
 /* ---- reduction ---- */
 
 static struct sim_result run_scenario(struct drawn_scenario *scenario) {
@@ -294,6 +316,7 @@
     struct drawn_scenario scenario;
     draw_scenario(&scenario, sizes[options->size].size, seed);
     if (options->duties) draw_duties(&scenario, seed);
+    if (options->cancellations) draw_cancellations(&scenario, sizes[options->size].size, seed);
     struct sim_result result = run_scenario(&scenario);
     totals->scenarios++;
     totals->overtime_scenarios += result.overtime_ms > 0;
@@ -378,11 +401,13 @@
 static bool read_options(int argc, char **argv, struct options *options) {
     int option;
     *options = (struct options){.processes = 1};
-    while ((option = getopt(argc, argv, "j:s:t:dv")) != -1) {
+    while ((option = getopt(argc, argv, "j:s:t:cdv")) != -1) {
         if (option == 'j') {
             options->processes = (int)strtol(optarg, NULL, 10);
         } else if (option == 't') {
             options->deadline = time(NULL) + strtol(optarg, NULL, 10);
+        } else if (option == 'c') {
+            options->cancellations = true;
         } else if (option == 'd') {
             options->duties = true;
         } else if (option == 'v') {
@@ -404,15 +429,13 @@
     struct options options;
     amb_log_init(getenv("LOG_LEVEL") ? getenv("LOG_LEVEL") : "error");
     if (!read_options(argc, argv, &options)) {
-        fprintf(
-            stderr,
-            "usage: explore [-j PROCESSES] [-s small|grown|fleet|slow] [-t SECONDS] [-d] [-v] FIRST LAST\n");
+        fprintf(stderr, "usage: explore [-j PROCESSES] [-s small|grown|fleet|slow] [-t SECONDS] [-c] [-d] "
+                        "[-v] FIRST LAST\n");
         return 2;
     }
     struct totals totals = explore_all(&options);
     printf("%llu scenarios, %llu violated a rule, %llu crashed, %llu needed overtime (at most %lld s) until "
-           "all work "
-           "was done; %llu start commands (at most %lld ms late) and %llu starts after a confirmed "
+           "all work was done; %llu start commands (at most %lld ms late) and %llu starts after a confirmed "
            "cancellation\n",
            (unsigned long long)totals.scenarios, (unsigned long long)totals.failed,
            (unsigned long long)totals.crashed, (unsigned long long)totals.overtime_scenarios,
