--- a/tests/agent/test_start_reads.c
+++ b/tests/agent/test_start_reads.c
@@ -17,6 +17,13 @@
 
 static uint64_t sequence;
 
+/* Valid until the next call. */
+static const char *machine_name(uint32_t number) {
+    static char name[AMB_NAME_SIZE];
+    snprintf(name, sizeof name, "m-%u", number);
+    return name;
+}
+
 static struct amb_http_req *report(const char *machine) {
     return send_heartbeat(
         (struct sent_heartbeat){.machine = machine, .incarnation = 1, .sequence = ++sequence, .token = TERM});
@@ -75,6 +82,25 @@
     return bind_task(add_active_job("wk-1", AMB_JOB_KIND_SERVICE, 1), 0, "m-1", 1);
 }
 
+/* A job whose tasks are bound to machines from m-0 on, which have acknowledged the token. */
+static struct amb_job *job_on_machines(enum amb_job_kind kind, uint32_t machines, uint32_t tasks_each) {
+    struct amb_job *job = add_active_job("wk-1", kind, machines * tasks_each);
+    for (uint32_t machine = 0; machine < machines; machine++) {
+        const char *name = machine_name(machine);
+        machine_up(name, 0);
+        for (uint32_t i = 0; i < tasks_each; i++) bind_task(job, machine * tasks_each + i, name, 1);
+    }
+    return job;
+}
+
+/* Gives the leader its share of this many requests per second to the state service. */
+static void limit_store_requests(double requests_per_second) {
+    node->settings.store_rps = requests_per_second;
+    amb_store_init(&node->store, &node->settings, 1000);
+    amb_store_set_leadership(&node->store, true);
+    node->election.ttl = 100 * LEADER_TTL_MS; /* its renewals are not part of these tests */
+}
+
 static void ignore_read(void *context, bool ok) {
     (void)context, (void)ok;
 }
@@ -145,14 +171,8 @@
 static void one_read_answers_all_that_wait(void **state) {
     (void)state;
     enum { MACHINES = 20 };
-    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_ARRAY, MACHINES);
-    for (uint32_t i = 0; i < MACHINES; i++) {
-        char name[AMB_NAME_SIZE];
-        snprintf(name, sizeof name, "m-%u", i);
-        machine_up(name, 0);
-        bind_task(job, i, name, 1);
-        report(name);
-    }
+    struct amb_job *job = job_on_machines(AMB_JOB_KIND_ARRAY, MACHINES, 1);
+    for (uint32_t i = 0; i < MACHINES; i++) report(machine_name(i));
     /* The first heartbeat's read was in flight when the others arrived. */
     answer_oldest_read();
     fake_clock_advance(100);
@@ -169,26 +189,13 @@
     (void)state;
     enum { MACHINES = 2500, TASKS_PER_MACHINE = 10, ANSWER_MS = 5, STORE_RPS = 800, PERIOD_MS = 1000 };
     const size_t most_reads = STORE_RPS / 2 / 4; /* half of the requests are the leader's */
-    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_ARRAY, MACHINES * TASKS_PER_MACHINE);
-    node->settings.store_rps = STORE_RPS;
-    amb_store_init(&node->store, &node->settings, 1000);
-    amb_store_set_leadership(&node->store, true);
-    node->election.ttl = 100 * LEADER_TTL_MS; /* its renewals are not part of this test */
-    for (uint32_t machine = 0; machine < MACHINES; machine++) {
-        char name[AMB_NAME_SIZE];
-        snprintf(name, sizeof name, "m-%u", machine);
-        machine_up(name, 0);
-        for (uint32_t i = 0; i < TASKS_PER_MACHINE; i++)
-            bind_task(job, machine * TASKS_PER_MACHINE + i, name, 1);
-    }
+    limit_store_requests(STORE_RPS);
+    struct amb_job *job = job_on_machines(AMB_JOB_KIND_ARRAY, MACHINES, TASKS_PER_MACHINE);
     uint32_t reported = 0;
     size_t sent = 0; /* within the period */
     for (int ms = 0; ms < PERIOD_MS; ms++) {
-        for (; reported < MACHINES * (uint32_t)(ms + 1) / PERIOD_MS; reported++) {
-            char name[AMB_NAME_SIZE];
-            snprintf(name, sizeof name, "m-%u", reported);
-            report(name);
-        }
+        for (; reported < MACHINES * (uint32_t)(ms + 1) / PERIOD_MS; reported++)
+            report(machine_name(reported));
         if (ms % ANSWER_MS == 0 && open_reads()) answer_oldest_read();
         sent = fake_count_sent_calls(CHANGES_PATH);
         fake_clock_advance(1);
@@ -206,21 +213,10 @@
     enum { MACHINES = 4000, STORE_RPS = 200, PERIOD_S = 10, EVERY_MS = 3, RENEWAL_MS = 250 };
     const size_t own_rps = STORE_RPS / 2;                       /* half of the requests are the leader's */
     const size_t most_reads = own_rps / 4 * PERIOD_S + own_rps; /* and a burst of one second's worth */
-    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_ARRAY, MACHINES);
-    node->settings.store_rps = STORE_RPS;
-    amb_store_init(&node->store, &node->settings, 1000);
-    amb_store_set_leadership(&node->store, true);
-    node->election.ttl = 100 * LEADER_TTL_MS;
-    for (uint32_t i = 0; i < MACHINES; i++) {
-        char name[AMB_NAME_SIZE];
-        snprintf(name, sizeof name, "m-%u", i);
-        machine_up(name, 0);
-        bind_task(job, i, name, 1);
-    }
+    limit_store_requests(STORE_RPS);
+    job_on_machines(AMB_JOB_KIND_ARRAY, MACHINES, 1);
     for (uint32_t ms = 0, reported = 0; ms < PERIOD_S * 1000; ms++) {
-        char name[AMB_NAME_SIZE];
-        snprintf(name, sizeof name, "m-%u", reported);
-        if (ms % EVERY_MS == 0 && reported++ < MACHINES) report(name);
+        if (ms % EVERY_MS == 0 && reported < MACHINES) report(machine_name(reported++));
         if (ms % EVERY_MS == EVERY_MS - 1 && open_reads()) answer_oldest_read();
         if (!amb_store_can_write_for_user(&node->store, 1, 0)) fail_msg("no token for a user at %u ms", ms);
         if (ms % RENEWAL_MS == 0) {
@@ -237,15 +233,11 @@
  * although it is in flight, and its answer serves all that have waited. */
 static void a_slow_read_does_not_hold_up_later_ones(void **state) {
     (void)state;
-    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_ARRAY, 2);
-    machine_up("m-1", 0);
-    machine_up("m-2", 0);
-    bind_task(job, 0, "m-1", 1);
-    bind_task(job, 1, "m-2", 1);
-    report("m-1");
+    struct amb_job *job = job_on_machines(AMB_JOB_KIND_ARRAY, 2, 1);
+    report("m-0");
     struct fake_call *slow = open_call("GET", CHANGES_PATH);
     fake_clock_advance(10);
-    report("m-2");
+    report("m-1");
     assert_int_equal(open_reads(), 1);
     fake_clock_advance(100);
     assert_int_equal(open_reads(), 2);
@@ -412,14 +404,10 @@
 static void deferred_commands_have_a_bound(void **state) {
     (void)state;
     enum { MACHINES = 100, STOPPED = 200 };
-    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_ARRAY, MACHINES);
+    job_on_machines(AMB_JOB_KIND_ARRAY, MACHINES, 1);
     const size_t most = amb_memory_max_deferred_commands(&node->settings);
     for (uint32_t i = 0; i < MACHINES; i++) {
-        char name[AMB_NAME_SIZE];
-        snprintf(name, sizeof name, "m-%u", i);
-        machine_up(name, 0);
-        bind_task(job, i, name, 1);
-        report_stopped(name, STOPPED);
+        report_stopped(machine_name(i), STOPPED);
         assert_true(node->fleet.deferred_commands <= most);
     }
     assert_int_equal(count_replies(), MACHINES - most / STOPPED);
@@ -512,13 +500,9 @@
 
 static void a_gang_that_loses_a_member_is_not_started(void **state) {
     (void)state;
-    struct amb_job *job = add_active_job("wk-1", AMB_JOB_KIND_GANG, 2);
-    machine_up("m-1", 0);
-    machine_up("m-2", 0);
-    bind_task(job, 0, "m-1", 1);
-    bind_task(job, 1, "m-2", 1);
+    struct amb_job *job = job_on_machines(AMB_JOB_KIND_GANG, 2, 1);
     amb_gang_set_state(job, AMB_GANG_STARTING, "placed");
-    report("m-1");
+    report("m-0");
     amb_task_unbind(node, &job->tasks[1], "lost");
     amb_gang_tear_down(node, job, "a task is absent");
     answer_oldest_read();
